--- /dev/null
+++ b/src/bin/spardeal-drill/settings.rs
@@ -0,0 +1,231 @@
+//! The settings text of the wire, read into the module's own [`Settings`].
+
+use serde::Deserialize;
+use spardeal::{Class, Effect, Group, LoadField, Micros, Settings, Tenant};
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase", default)]
+struct Wire {
+    balancers: u32,
+    me: u32,
+    zone: u8,
+    classes: Vec<WireClass>,
+    realms: Vec<WireRealm>,
+    discovery: String,
+    specifics: Specifics,
+    limits: Limits,
+    guarantees: Guarantees,
+    prices: Prices,
+    report: Report,
+    weight_source: String,
+    period_us: f64,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase", default)]
+struct WireClass {
+    goal_time_us: f64,
+    deadline_us: f64,
+    gain: f64,
+    late_value: f64,
+    effect: String,
+    dedup_scope: String,
+    dedup_window_us: f64,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(rename_all = "camelCase", default)]
+struct WireRealm {
+    quota_per_s: f64,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase", default)]
+struct Specifics {
+    mode: String,
+    origin_kind: i64,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase", default)]
+struct Limits {
+    max_attempts: u32,
+    may_duplicate: bool,
+    may_cancel: bool,
+    probes: bool,
+    peers: bool,
+    retry_after: bool,
+    max_retry_after_us: f64,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase", default)]
+struct Guarantees {
+    ask_within_us: f64,
+    cold_share: f64,
+    cold_us: f64,
+    drain_grace_us: f64,
+    fall_multiple: f64,
+    tip_after_us: f64,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(default)]
+struct Prices {
+    connection: f64,
+    handshake: f64,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(rename_all = "camelCase", default)]
+struct Report {
+    fields: Vec<String>,
+}
+
+impl Default for Wire {
+    fn default() -> Self {
+        let base = Settings::default();
+        Wire {
+            balancers: base.balancers,
+            me: base.me,
+            zone: base.zone,
+            classes: Vec::new(),
+            realms: Vec::new(),
+            discovery: "push".into(),
+            specifics: Specifics::default(),
+            limits: Limits::default(),
+            guarantees: Guarantees::default(),
+            prices: Prices::default(),
+            report: Report::default(),
+            weight_source: "silent".into(),
+            period_us: base.tick as f64,
+        }
+    }
+}
+
+impl Default for WireClass {
+    fn default() -> Self {
+        let base = Class::default();
+        WireClass {
+            goal_time_us: base.aim as f64,
+            deadline_us: base.deadline as f64,
+            gain: base.worth,
+            late_value: base.late_worth,
+            effect: "side_effect".into(),
+            dedup_scope: "cell".into(),
+            dedup_window_us: 0.0,
+        }
+    }
+}
+
+impl Default for Specifics {
+    fn default() -> Self {
+        Specifics { mode: "through".into(), origin_kind: -1 }
+    }
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Limits {
+            max_attempts: Settings::default().max_attempts,
+            may_duplicate: false,
+            may_cancel: false,
+            probes: false,
+            peers: false,
+            retry_after: false,
+            max_retry_after_us: 0.0,
+        }
+    }
+}
+
+impl Default for Guarantees {
+    fn default() -> Self {
+        let base = Settings::default();
+        Guarantees {
+            ask_within_us: base.ask_within as f64,
+            cold_share: base.cold_share,
+            cold_us: base.warm_up as f64,
+            drain_grace_us: base.drain_grace as f64,
+            fall_multiple: base.fall_multiple,
+            tip_after_us: base.fall_after as f64,
+        }
+    }
+}
+
+/// Reads a settings text; the error is one plain line.
+pub fn read(text: &[u8]) -> Result<Settings, String> {
+    let wire: Wire = serde_json::from_slice(text).map_err(|e| format!("unreadable settings: {e}"))?;
+    let mut classes = Vec::with_capacity(wire.classes.len());
+    for c in &wire.classes {
+        classes.push(class(c)?);
+    }
+    let origin = (wire.specifics.mode == "aside").then(|| u16::try_from(wire.specifics.origin_kind).ok());
+    let limits = wire.limits;
+    Ok(Settings {
+        balancers: wire.balancers,
+        me: wire.me,
+        zone: wire.zone,
+        classes,
+        tenants: wire.realms.iter().map(|r| Tenant { quota_per_s: r.quota_per_s }).collect(),
+        ask_discovery: wire.discovery == "ask",
+        ask_within: micros(wire.guarantees.ask_within_us),
+        origin_kind: origin.flatten(),
+        weights_are_sizes: matches!(wire.weight_source.as_str(), "nominal" | "rough"),
+        weights_are_live: wire.weight_source == "live",
+        load_fields: wire.report.fields.iter().map(|f| load_field(f)).collect(),
+        max_attempts: limits.max_attempts,
+        may_duplicate: limits.may_duplicate,
+        may_cancel: limits.may_cancel,
+        may_probe: limits.probes,
+        may_tell_peers: limits.peers,
+        connection_price: wire.prices.connection,
+        handshake_price: wire.prices.handshake,
+        max_retry_after: if limits.retry_after { micros(limits.max_retry_after_us) } else { 0 },
+        tick: micros(wire.period_us),
+        cold_share: wire.guarantees.cold_share,
+        warm_up: micros(wire.guarantees.cold_us),
+        fall_multiple: wire.guarantees.fall_multiple,
+        fall_after: micros(wire.guarantees.tip_after_us),
+        drain_grace: micros(wire.guarantees.drain_grace_us),
+    })
+}
+
+fn class(c: &WireClass) -> Result<Class, String> {
+    let group = match c.dedup_scope.as_str() {
+        "all" => Group::All,
+        "zone" => Group::Zone,
+        _ => Group::Cell,
+    };
+    let effect = match c.effect.as_str() {
+        "pure" => Effect::Safe,
+        "token" => Effect::Keyed { group, window: micros(c.dedup_window_us) },
+        "side_effect" => Effect::Unsafe,
+        other => {
+            return Err(format!("unreadable settings: unknown effect {other:?} of a class"));
+        }
+    };
+    Ok(Class {
+        aim: micros(c.goal_time_us),
+        deadline: micros(c.deadline_us),
+        worth: c.gain,
+        late_worth: c.late_value,
+        effect,
+    })
+}
+
+fn load_field(name: &str) -> LoadField {
+    match name {
+        "rif" => LoadField::InFlight,
+        "q" => LoadField::Queued,
+        "busy" => LoadField::Busy,
+        "lat_ms" => LoadField::ServiceMs,
+        "rate" => LoadField::Rate,
+        "fail_rate" => LoadField::ErrorRate,
+        _ => LoadField::Other,
+    }
+}
+
+/// Saturating: a negative figure counts as 0.
+fn micros(value: f64) -> Micros {
+    value as Micros
+}
--- /dev/null
+++ b/src/brain.rs
@@ -0,0 +1,594 @@
+//! Every decision of a balancer. The types it speaks in (settings, events, actions) are in `interface.rs`.
+//!
+//! Ordinary path: a read goes to the first server in its key's order that is not over the load bound; after
+//! a miss the value is fetched from the origin, and a write goes straight there, through a gate of an
+//! outstanding cap and a windowed tally; a call that finds the gate shut is postponed by a random delay.
+//! All else here is a departure for a failure that the code names.
+
+use crate::interface::*;
+use crate::state::*;
+
+/// Load bound: a server is skipped from this multiple of its part of this balancer's attempts in flight: the
+/// first where the origin has room for the fetch a skip costs, the second where it holds calls up; never
+/// below this balancer's part of the third, else a quiet one would scatter its keys.
+/// The origin is without room when the fourth, as a part of the calls, finds the gate shut.
+const BOUND: (f64, f64, f64, f64) = (1.25, 3.0, 8.0, 0.05);
+/// A server whose queue takes longer than this part of the time left is full.
+const FULL: f64 = 0.5;
+/// Answers that a server is credited with before any were seen: a few in flight at an idle one pass.
+const PRIOR: f64 = 2.0;
+/// Gate: outstanding origin calls of one balancer at most; it starts from half, the note's default.
+const GATE_OUT: f64 = 20.0;
+/// Gate: calls a second, as a part of this balancer's share; at the least the note's.
+const GATE_RATE: (f64, f64) = (1.0, 30.0);
+/// Gate: its window as a part of the longest aim, short enough that what bursts over it can still wait.
+const GATE_WINDOW: f64 = 0.25;
+/// Gate: sub-limit of fetches, of both limits; writes have the rest for themselves.
+const GATE_FETCHES: f64 = 0.7;
+/// Gate: factor on the outstanding cap at a sign of congestion, and its floor as a part of the ceiling.
+const GATE_CUT: (f64, f64) = (0.8, 0.1);
+/// Gate: an origin answer later than this part of the shortest aim is a congestion signal.
+const ORIGIN_SLOW: f64 = 0.8;
+/// Postponement: the note's 1 to 3 s against its bound of 60 s, taken as parts of the request's aim.
+const DELAY: (f64, f64) = (1.0 / 60.0, 3.0 / 60.0);
+/// An attempt without answer for this part of its aim is slow, for twice this nearly late.
+const PATIENCE: f64 = 0.4;
+/// Strikes in a row, with no answer between them, after which a server is set aside.
+const STRIKES: u32 = 3;
+/// A server is set aside for this multiple of the longest aim, doubled each time up to the second figure.
+const ASIDE: (u64, u64) = (1, 8);
+/// Repeats of what may have run, and second copies, as a part of the requests, and how many at once.
+const REPEATS: (f64, f64) = (0.05, 5.0);
+/// Signs of overload in each attempt (turned away or nearly late is one, slow a half) from which tenants are
+/// held closer to their quotas, and even below them.
+const STRAIN: (f64, f64) = (0.06, 0.55);
+/// Multiple of the quotas that fills the buckets: lowest (a jammed fleet heals half idle), at start, highest.
+const LEVEL: (f64, f64, f64) = (0.25, 1.0, 4.0);
+/// Steps of the level at a review, whole from so many attempts judged: one of many balancers sees few.
+const LEVEL_STEPS: (f64, f64, f64) = (0.92, 1.04, 5.0);
+/// Tokens that a bucket holds beyond an aim's worth, against chance in who reaches which balancer.
+const BURST: f64 = 5.0;
+/// Part of the quotas that tenants may use in common: those within their quotas leave about the rest unused.
+const POOL: f64 = 0.8;
+/// What a review keeps of the counts before it, while more than this many are left to judge by.
+const FADE: (f64, f64) = (0.85, 10.0);
+/// A cold server gets this multiple of a warm server's attempts, scaled by its present part of capacity.
+const COLD_RATE: f64 = 1.5;
+/// A key is hot that was asked for before among so many requests here: a part of all, whatever N is.
+const HOT: usize = 64;
+
+impl Policy {
+    /// A balancer that knows its settings and nothing else yet.
+    pub fn new(settings: Settings, seed: u64) -> Self {
+        let aims = settings.classes.iter().map(|c| c.aim);
+        let quotas: f64 = settings.tenants.iter().map(|t| t.quota_per_s).sum();
+        let quota_share = quotas / f64::from(settings.balancers.max(1));
+        let mut policy = Policy {
+            aim: aims.clone().max().unwrap_or(1_000_000).max(1),
+            origin_aim: aims.min().unwrap_or(1_000_000),
+            senders: vec![Bucket::default(); settings.tenants.len().max(1)],
+            rng: Random::new(seed),
+            level: LEVEL.1,
+            // Held by all balancers, a connection costs more than it saves: whatever the traffic, the price
+            // of keeping one open grows with their number and the price of opening it again does not.
+            crowded: f64::from(settings.balancers) * settings.connection_price
+                > 100.0 * settings.handshake_price,
+            repeats: REPEATS.1,
+            // Calls of an earlier life of this balancer may still run: the gate opens gradually.
+            gate: Gate { limit: GATE_OUT / 2.0, ..Gate::default() },
+            quota_share,
+            settings,
+            ..Policy::default()
+        };
+        policy.wake(0, Wake::Subscribe);
+        policy.wake(0, Wake::Review);
+        policy
+    }
+
+    /// Takes one event at a clock value and adds the actions that it calls for.
+    pub fn handle(&mut self, now: Micros, event: Event, out: &mut Vec<Action>) {
+        self.now = now;
+        match event {
+            Event::ServerList { kind: ListKind::Failed, .. } => self.discovery_failed(out),
+            Event::ServerList { kind, servers } => self.server_list(kind, servers),
+            Event::Request(request) => self.request(request, out),
+            Event::Outcome(outcome) => self.outcome(outcome, out),
+            // A streamed answer belongs to the client from here on: nothing is owed, and no deadline runs.
+            Event::AnswerBegan { request, .. } | Event::ClientGone(request) => {
+                drop(self.held.remove(&request))
+            }
+            Event::Timer(_) => self.wakes.timer_came(),
+            Event::PeerMessage { .. } | Event::Probed { .. } => {}
+        }
+        while let Some(wake) = self.wakes.due(now, out) {
+            match wake {
+                Wake::End(id) => self.time_up(id, out),
+                Wake::Go(id, wait) if self.held.get(&id).map(|h| h.wait) == Some(wait) => self.step(id, out),
+                Wake::Patience(id, attempt) => self.patience(id, attempt, out),
+                Wake::Subscribe if self.settings.ask_discovery => out.push(Action::Subscribe(true)),
+                Wake::Go(..) | Wake::Subscribe => {}
+                Wake::Review => self.review(out),
+            }
+        }
+    }
+
+    fn wake(&mut self, after: Micros, wake: Wake) {
+        self.wakes.at(self.now + after, wake);
+    }
+
+    // A request arrives.
+
+    fn request(&mut self, r: Request, out: &mut Vec<Action>) {
+        // Ends some ticks before its time is up, so that the answer is in time when a call comes late.
+        let margin = 2 * self.settings.tick;
+        let mut held = Held {
+            class: r.class,
+            key: r.key,
+            write: r.write,
+            aim_at: (self.now + self.settings.classes[r.class].aim).saturating_sub(margin),
+            ends: self.now + r.time_left.saturating_sub(margin),
+            ..Held::default()
+        };
+        self.repeats = (self.repeats + REPEATS.0).min(REPEATS.1);
+        self.recent.push_front(r.key);
+        self.recent.truncate(HOT);
+        let (ends, aim_at) = (held.ends, self.useful_until(&held));
+        let admitted = self.admit(&mut held, r.tenant) && self.now < ends;
+        self.held.insert(r.id, held);
+        if !admitted {
+            return self.end(r.id, out);
+        }
+        self.admitted.count();
+        self.wakes.at(ends, Wake::End(r.id));
+        self.wakes.at(aim_at, Wake::End(r.id));
+        self.step(r.id, out);
+    }
+
+    /// A tenant's token bucket fills with this balancer's part of its quota, times the level, so that those
+    /// furthest over are turned away first. A rate measured from the handful that one of many balancers sees
+    /// would turn away those within their quotas.
+    fn admit(&mut self, h: &mut Held, tenant: usize) -> bool {
+        let Some(sender) = self.senders.get_mut(tenant) else { return true };
+        // While all together ask for less than their quotas, chance in a small bucket turns none away.
+        // A falling level empties the buckets too: what many hold back would keep a jam going for long.
+        let burst = (BURST * self.level).clamp(1.0, BURST);
+        let pooled = self.pool.fill(self.now, POOL * self.quota_share * self.level, burst);
+        let quota = self.settings.tenants.get(tenant).map_or(f64::INFINITY, |t| t.quota_per_s);
+        let part = self.level * quota / f64::from(self.settings.balancers.max(1));
+        let room = sender.fill(self.now, part, burst + part * self.aim as f64 / 1e6);
+        let admitted = room || pooled || self.level >= LEVEL.2;
+        if admitted {
+            sender.take();
+            self.pool.take();
+            h.charged = Some(tenant);
+        }
+        admitted
+    }
+
+    /// Chooses and makes the next call of a request that has none out.
+    fn step(&mut self, id: RequestId, out: &mut Vec<Action>) {
+        let Some(h) = self.held.get(&id) else { return };
+        if self.now >= self.useful_until(h) || u32::from(h.sent) >= self.settings.max_attempts {
+            return self.end(id, out);
+        }
+        if h.write || h.missed {
+            return self.origin_call(id, out);
+        }
+        if !self.pick(id).is_some_and(|server| self.send(id, server, Call::Cache, out)) {
+            self.end(id, out);
+        }
+    }
+
+    fn useful_until(&self, h: &Held) -> Micros {
+        if self.settings.classes[h.class].late_worth > 0.0 { h.ends } else { h.aim_at.min(h.ends) }
+    }
+
+    // The key's order.
+
+    /// The first server in the key's order within the load bound, else the first; none where that is full.
+    fn pick(&self, id: RequestId) -> Option<ServerId> {
+        let h = &self.held[&id];
+        let key = if h.key == 0 { id } else { h.key };
+        let left = self.useful_until(h).saturating_sub(self.now) as f64;
+        let multiple = BOUND.0 + (BOUND.1 - BOUND.0) * (self.gate.pressed.value() / BOUND.3).min(1.0);
+        let bound = multiple * f64::from(self.cache_out + 1) / self.total;
+        let floor = BOUND.2 / f64::from(self.settings.balancers.max(2)); // All of it from one is a crowd.
+        let mut best = None;
+        for s in self.ready(false).filter(|s| !h.tried.contains(&s.line.id) && self.warm_enough(key, s)) {
+            // Last, not left out: when most look bad the cause is shared, and there is no better place.
+            let aside = s.aside.0 != 0 && (self.now < s.aside.0 || s.in_flight > 0);
+            let over = f64::from(s.in_flight) >= (bound * self.weight(s)).max(floor);
+            let place = (aside, over || self.queue(id, s) > left * FULL, self.place(key, s), s.line.id);
+            if best.is_none_or(|b| place < b) {
+                best = Some(place);
+            }
+        }
+        // Passing over a full server for one far down the order would scatter the keys and empty the caches.
+        let backlog = |s: &Server| if self.level < LEVEL.2 { self.backlog(s) } else { 0.0 };
+        let full = |s: &Server| self.queue(id, s).max(backlog(s)) > left * FULL;
+        best.map(|(.., server)| server).filter(|server| !full(&self.servers[server]))
+    }
+
+    /// Wait at a server by what the list tells of the requests that all balancers together have there. Each
+    /// request takes it for more or less, else all balancers would turn away, and come back, in step.
+    fn queue(&self, id: RequestId, s: &Server) -> f64 {
+        let wait = self.service * s.held_per_core();
+        if wait > 0.0 { wait * (0.5 + unit_hash(id, s.line.id, 2)) } else { 0.0 }
+    }
+
+    /// Time until a server has answered what this balancer has in flight there, at the pace of its latest
+    /// answers (Little's law), with a credit for a server that has had little to answer.
+    fn backlog(&self, s: &Server) -> f64 {
+        f64::from(s.in_flight) * self.aim as f64 / (s.answered_lately(self.now, self.aim) + PRIOR)
+    }
+
+    fn ready(&self, origin: bool) -> impl Iterator<Item = &Server> {
+        self.servers.values().filter(move |s| s.line.condition == Condition::Ready && s.origin == origin)
+    }
+
+    fn weight(&self, s: &Server) -> f64 {
+        if self.settings.weights_are_sizes { f64::from(s.line.weight).max(0.01) } else { 1.0 }
+    }
+
+    /// Place of a server in a key's order, the smaller the earlier (weighted rendezvous hashing): the same
+    /// at every balancer, and little moves when a server comes or goes.
+    fn place(&self, key: Key, s: &Server) -> f64 {
+        let draw = unit_hash(key, s.line.id, 0);
+        // The same order without the logarithm, which was most of a pick at 475 servers.
+        if self.settings.weights_are_sizes { -draw.ln() / self.weight(s) } else { -draw }
+    }
+
+    /// Part of its capacity that a server has at the least, some time after its start.
+    fn warmth(&self, s: &Server) -> f64 {
+        let age = self.now.saturating_sub(s.line.started) as f64 / self.settings.warm_up.max(1) as f64;
+        let share = self.settings.cold_share;
+        if s.line.started == 0 { 1.0 } else { (share + (1.0 - share) * age).min(1.0) }
+    }
+
+    /// Against pushing a cold server over: it gets a part of its keys that grows as it warms, the same
+    /// keys from every balancer, and from each no more than a part of a warm server's requests.
+    fn warm_enough(&self, key: Key, s: &Server) -> bool {
+        let warmth = self.warmth(s);
+        let room = |(level, depth)| level < depth;
+        // A hot key would come from all balancers at once, from each within its bucket.
+        let hot = || self.recent.iter().filter(|recent| **recent == key).count() > 1;
+        warmth >= 1.0 || (unit_hash(key, s.line.id, 1) < warmth && room(self.cold_bucket(s)) && !hot())
+    }
+
+    /// Level and depth of the bucket of attempts at a server, as cold as it is.
+    fn cold_bucket(&self, s: &Server) -> (f64, f64) {
+        let rate = COLD_RATE * self.warmth(s) * self.share() * self.weight(s) / self.total / 1e6;
+        let level = s.cold.0 - rate * (self.now - s.cold.1) as f64;
+        (level.max(0.0), (rate * self.settings.fall_after as f64 / 2.0).max(1.0))
+    }
+
+    /// Requests a second that are this balancer's to serve.
+    fn share(&self) -> f64 {
+        if self.quota_share > 0.0 { self.quota_share } else { self.admitted.per_s }
+    }
+
+    // Calls to the origin.
+
+    fn origin_call(&mut self, id: RequestId, out: &mut Vec<Action>) {
+        let call = if self.held[&id].write { Call::Write } else { Call::Fetch };
+        let target = match self.settings.origin_kind {
+            Some(_) => self.ready(true).map(|s| s.line.id).next(),
+            // Servers that fetch for themselves take writes too.
+            None => self.pick(id),
+        };
+        match target.filter(|_| self.gate_open(call)) {
+            None => self.postpone(id, out),
+            Some(target) if self.send(id, target, call, out) => {}
+            Some(_) => self.end(id, out),
+        }
+    }
+
+    /// Whether the outstanding cap and the windowed tally let one more call through.
+    fn gate_open(&mut self, call: Call) -> bool {
+        let window = self.aim as f64 * GATE_WINDOW;
+        let tally = (self.share() * GATE_RATE.0).max(GATE_RATE.1) * window / 1e6;
+        self.gate.roll(self.now, window as Micros);
+        let g = &self.gate;
+        let room = |count: u32, limit: f64| f64::from(count + 1) <= limit.max(1.0);
+        let open = |i: usize, part: f64| room(g.out[i], g.limit * part) && room(g.tally[i], tally * part);
+        let open = open(0, 1.0) && (call == Call::Write || open(1, GATE_FETCHES));
+        self.gate.pressed.add(f64::from(u8::from(!open)), 1.0);
+        open
+    }
+
+    /// Parks a request that a shut gate stops, for a random delay, while its answer can still earn.
+    fn postpone(&mut self, id: RequestId, out: &mut Vec<Action>) {
+        let h = &self.held[&id];
+        let aim = self.settings.classes[h.class].aim as f64;
+        let delay = (aim * (DELAY.0 + (DELAY.1 - DELAY.0) * self.rng.unit())) as Micros + 1;
+        if self.now + delay >= self.useful_until(h) {
+            return if h.out == 0 {
+                self.end(id, out)
+            };
+        }
+        if let Some(h) = self.held.get_mut(&id) {
+            h.wait += 1;
+            self.wakes.at(self.now + delay, Wake::Go(id, h.wait));
+        }
+    }
+
+    // The one place that sends.
+
+    /// Sends an attempt, or tells that a rule forbids it.
+    fn send(&mut self, id: RequestId, server: ServerId, call: Call, out: &mut Vec<Action>) -> bool {
+        let (Some(h), Some(s)) = (self.held.get(&id), self.servers.get(&server)) else { return false };
+        let allowed = self.now < h.ends
+            && u32::from(h.sent) < self.settings.max_attempts
+            && s.line.condition == Condition::Ready
+            && (h.out == 0 || self.settings.may_duplicate)
+            && self.may_repeat(h, server);
+        if !allowed {
+            return false;
+        }
+        let cold = (self.cold_bucket(s).0 + 1.0, self.now);
+        let (attempt, sent, aim) = (h.sent, self.now, self.settings.classes[h.class].aim);
+        let slow_after = (aim as f64 * PATIENCE) as Micros;
+        if let (Some(h), Some(s)) = (self.held.get_mut(&id), self.servers.get_mut(&server)) {
+            (h.sent, h.out) = (h.sent + 1, h.out + 1);
+            h.may_have_run.push((attempt, sent, server));
+            (s.in_flight, s.cold) = (s.in_flight + 1, cold);
+        }
+        if call == Call::Cache {
+            self.cache_out += 1;
+            self.wake(slow_after, Wake::Patience(id, attempt));
+        } else {
+            self.gate.enter(call);
+        }
+        self.flights.insert((id, attempt), Flight { server, call, sent, aim, slow_after });
+        out.push(Action::Send { request: id, server, give_up_after: 0 });
+        true
+    }
+
+    /// No effect twice: a repeat of what may have run goes only where and while it is dropped.
+    fn may_repeat(&self, h: &Held, server: ServerId) -> bool {
+        let Some(&(_, sent, first)) = h.may_have_run.first() else { return true };
+        match self.settings.classes[h.class].effect {
+            Effect::Safe => true,
+            Effect::Unsafe => false,
+            Effect::Keyed { group, window } => {
+                let (first, next) = (self.servers.get(&first), self.servers.get(&server));
+                let shared = first.zip(next).is_some_and(|(a, b)| a.shares_group(b, group));
+                shared && self.now + 2 * self.settings.tick < sent + window
+            }
+        }
+    }
+
+    // An attempt ends.
+
+    fn outcome(&mut self, o: Outcome, out: &mut Vec<Action>) {
+        let Some(flight) = self.flights.remove(&(o.request, o.attempt)) else { return };
+        self.learn(&flight, &o, out);
+        let Some(h) = self.held.get_mut(&o.request) else { return };
+        h.out -= 1;
+        if o.status.proves_not_run() {
+            h.may_have_run.retain(|&(attempt, ..)| attempt != o.attempt);
+        }
+        h.missed |= o.status == Status::Miss;
+        if flight.call == Call::Cache && o.status != Status::Miss {
+            h.tried.push(flight.server);
+        }
+        let (others_out, class) = (h.out > 0, h.class);
+        if o.over || o.status == Status::Served {
+            self.cancel_rest(o.request, out);
+            self.held.remove(&o.request);
+            return;
+        }
+        if others_out && o.status != Status::Miss {
+            return; // Their outcomes decide.
+        }
+        if flight.call != Call::Cache && o.status == Status::Full {
+            return self.postpone(o.request, out);
+        }
+        // Repeating what may still run adds work just when things are slow: only on a budget.
+        // Where each attempt opens a connection, one turned away has cost the server work all the same.
+        let costly = self.crowded && flight.call == Call::Cache && o.status != Status::Miss;
+        if costly || !o.status.proves_not_run() {
+            if self.repeats < 1.0 || self.settings.classes[class].effect != Effect::Safe {
+                return self.end(o.request, out);
+            }
+            self.repeats -= 1.0;
+        }
+        self.step(o.request, out);
+    }
+
+    /// What an outcome tells of its server and of the strain on the fleet, or of the origin.
+    fn learn(&mut self, flight: &Flight, o: &Outcome, out: &mut Vec<Action>) {
+        let Some(s) = self.servers.get_mut(&flight.server) else { return };
+        s.in_flight = s.in_flight.saturating_sub(1);
+        // The tables of the servers have no room for an idle connection from each of many balancers.
+        if s.in_flight == 0 && self.crowded {
+            out.push(Action::CloseIdle(flight.server));
+        }
+        if flight.call != Call::Cache {
+            return self.learn_origin(flight, o, out);
+        }
+        self.cache_out -= 1;
+        // A late answer has been counted when it became late: waiting for its end would lag the overload.
+        if self.now - flight.sent < flight.slow_after {
+            self.strain.add(f64::from(u8::from(o.status == Status::Full)), 1.0);
+        }
+        match o.status {
+            // A server that fails each request at once looks idle and would draw ever more of them.
+            Status::ConnectFailed | Status::Reset | Status::Error => {
+                s.unreachable |= o.status != Status::Error;
+                self.strike(flight.server, out);
+            }
+            Status::TimedOut => s.unreachable = false,
+            Status::NotSent | Status::Cancelled => {}
+            _ => {
+                let sample = (self.now - flight.sent) as f64 / (1.0 + s.held_per_core());
+                if o.status == Status::Served {
+                    self.service += if self.service == 0.0 { 1.0 } else { 0.1 } * (sample - self.service);
+                }
+                s.answered = 1.0 + s.answered_lately(self.now, flight.aim);
+                (s.heard, s.strikes) = (self.now, s.strikes.saturating_sub(1));
+                if s.aside.0 != 0 {
+                    s.aside = (0, 0);
+                    // It refused connections and answers again: a new process, cold, and the list is late.
+                    if s.unreachable {
+                        s.line.started = s.line.started.max(self.now);
+                    }
+                    out.push(Action::Log(format!("server {} answers again: let back", flight.server)));
+                }
+            }
+        }
+    }
+
+    /// A slow, failing or refusing origin lowers the gate's limit, within a floor; good answers restore it.
+    fn learn_origin(&mut self, flight: &Flight, o: &Outcome, out: &mut Vec<Action>) {
+        let slow = self.now - flight.sent > (self.origin_aim as f64 * ORIGIN_SLOW) as Micros;
+        let g = &mut self.gate;
+        g.leave(flight.call);
+        let was = g.limit;
+        if o.status == Status::Served && !slow {
+            g.limit = (g.limit + 1.0 / g.limit).min(GATE_OUT);
+        } else if o.status != Status::NotSent && flight.sent >= g.cut_at {
+            // One cut for all calls that were out together.
+            g.cut_at = self.now;
+            g.limit = (g.limit * GATE_CUT.0).max(GATE_OUT * GATE_CUT.1);
+        }
+        log_crossing(out, was, g.limit, GATE_OUT / 4.0, "gate lowered: origin slow", "gate restored");
+    }
+
+    /// A server that fails several times in a row, with no answer between, is set aside for a while.
+    fn strike(&mut self, server: ServerId, out: &mut Vec<Action>) {
+        let Some(s) = self.servers.get_mut(&server) else { return };
+        s.strikes += 1;
+        let trial_failed = s.aside.0 != 0 && self.now >= s.aside.0;
+        if trial_failed || (s.aside.0 == 0 && s.strikes >= STRIKES) {
+            let time = (s.aside.1 * 2).clamp(self.aim * ASIDE.0, self.aim * ASIDE.1);
+            s.aside = (self.now + time, time);
+            out.push(Action::Log(format!("server {server} fails or is silent: set aside")));
+        }
+    }
+
+    /// An attempt has had no answer for long: a sign of overload, and against silent and hanging servers a
+    /// strike when the server has answered nothing since.
+    fn patience(&mut self, id: RequestId, attempt: u16, out: &mut Vec<Action>) {
+        let Some(&f) = self.flights.get(&(id, attempt)) else { return };
+        let (age, patience) = (self.now - f.sent, f.slow_after + 1);
+        // Half a sign when it becomes slow, and is counted, and half when nearly late: slow is not yet lost.
+        self.strain.add(if age < f.aim { 0.5 } else { 0.0 }, if age < patience * 3 / 2 { 1.0 } else { 0.0 });
+        if age < patience * 3 / 2 {
+            self.hedge(id, f.server, out);
+        }
+        if age < f.aim {
+            return self.wake(patience, Wake::Patience(id, attempt));
+        }
+        // One strike for one attempt: a single slow request is no sign of a sick server.
+        if self.servers.get(&f.server).is_some_and(|s| s.heard < f.sent) {
+            self.strike(f.server, out);
+        }
+    }
+
+    /// Against a slow or silent server, of which one of many balancers sees too little to avoid it: a read
+    /// that waits long is sent to the next server too. Where it sees enough, a copy would only add a fetch.
+    fn hedge(&mut self, id: RequestId, server: ServerId, out: &mut Vec<Action>) {
+        let Some(h) = self.held.get_mut(&id).filter(|h| h.out == 1 && !h.missed) else { return };
+        let known = self.servers.get(&server).is_some_and(|s| s.answered_lately(self.now, self.aim) >= PRIOR);
+        if known
+            || self.settings.classes[h.class].effect != Effect::Safe
+            || !self.settings.may_duplicate
+            || self.repeats < 1.0
+        {
+            return;
+        }
+        h.tried.push(server);
+        if self.pick(id).is_some_and(|next| self.send(id, next, Call::Cache, out)) {
+            self.repeats -= 1.0;
+        }
+    }
+
+    // A request ends.
+
+    /// At the aim, where late answers earn nothing, an attempt at a cache server only crowds out those that
+    /// can still be in time. A call to the origin runs on anyway, and its answer fills the cache.
+    fn time_up(&mut self, id: RequestId, out: &mut Vec<Action>) {
+        let Some(h) = self.held.get(&id) else { return };
+        let origin = |attempt| self.flights.get(&(id, attempt)).is_some_and(|f| f.call != Call::Cache);
+        if self.now >= h.ends || !(0..h.sent).any(origin) {
+            self.end(id, out);
+        }
+    }
+
+    /// The one place that gives a final answer: a refusal where a retry is harmless, else a failure.
+    fn end(&mut self, id: RequestId, out: &mut Vec<Action>) {
+        let Some(h) = self.held.get(&id) else { return };
+        // A quota is of answers: what was not served is given back, else one held to its quota gets less.
+        let charged = h.charged.filter(|_| self.level >= LEVEL.1);
+        charged.and_then(|tenant| self.senders.get_mut(tenant)).into_iter().for_each(Bucket::give_back);
+        // No retry-after: a client told to wait comes back too late, and its answer takes another's place.
+        out.push(match self.settings.classes[h.class].effect == Effect::Safe || h.may_have_run.is_empty() {
+            true => Action::Refuse { request: id, retry_after: 0 },
+            false => Action::Fail(id),
+        });
+        self.cancel_rest(id, out);
+        self.held.remove(&id);
+    }
+
+    /// Work that nobody waits for is wasted and holds up the rest.
+    fn cancel_rest(&self, id: RequestId, out: &mut Vec<Action>) {
+        let sent = self.held.get(&id).filter(|h| h.out > 0 && self.settings.may_cancel).map_or(0, |h| h.sent);
+        let out_still = (0..sent).filter(|attempt| self.flights.contains_key(&(id, *attempt)));
+        out.extend(out_still.map(|attempt| Action::Cancel { request: id, attempt }));
+    }
+
+    // The server list.
+
+    fn server_list(&mut self, kind: ListKind, lines: Vec<ServerLine>) {
+        self.subscribe_tries = if kind == ListKind::Cached { self.subscribe_tries } else { 0 };
+        if kind != ListKind::Delta {
+            self.servers.values_mut().for_each(|s| s.line.condition = Condition::Gone);
+        }
+        for line in lines {
+            let s = self.servers.entry(line.id).or_default();
+            s.origin = self.settings.origin_kind == Some(line.kind);
+            // A new process starts with a clean record. One presumed cold stays so until the list knows.
+            if line.started > s.line.started {
+                (s.strikes, s.aside) = (0, (0, 0));
+            }
+            s.size = if self.settings.weights_are_live { s.size.max(line.weight) } else { line.weight };
+            let started = if line.started == 0 { 0 } else { line.started.max(s.line.started) };
+            s.line = ServerLine { started, ..line };
+        }
+        // Gone and owing nothing: forgotten here, as a walk over the fleet at each review cost much CPU.
+        self.servers.retain(|_, s| s.line.condition != Condition::Gone || s.in_flight > 0);
+        self.total = self.ready(false).map(|s| self.weight(s)).sum::<f64>().max(0.01);
+    }
+
+    /// Discovery has little capacity: it is asked again later each time, and not by all at once.
+    fn discovery_failed(&mut self, out: &mut Vec<Action>) {
+        let base = (self.settings.ask_within / 16) << self.subscribe_tries.min(3);
+        self.subscribe_tries += 1;
+        let delay = (base as f64 * (0.5 + self.rng.unit())) as Micros;
+        self.wake(delay, Wake::Subscribe);
+        out.push(Action::Log("discovery call failed or subscription lost: asking again".into()));
+    }
+
+    // Now and then.
+
+    /// Moves the level that tenants are held to, by the strain seen lately.
+    fn review(&mut self, out: &mut Vec<Action>) {
+        let period = (self.aim / 8).max(self.settings.tick).max(1);
+        let was = self.level;
+        let strain = self.strain.value();
+        let (floor, hold) = if strain > STRAIN.1 { (LEVEL.0, false) } else { (LEVEL.1, strain > STRAIN.0) };
+        // It hastens in a jam, which grows by itself, and where few or no requests are left to judge by.
+        let haste = strain > STRAIN.1 || was < LEVEL.1 || (self.cache_out == 0 && strain <= 0.0);
+        let part = if haste { 1.0 } else { (self.strain.fresh / LEVEL_STEPS.2).min(1.0) };
+        self.level = match strain > STRAIN.1 || (hold && was > LEVEL.1) {
+            true => (was * LEVEL_STEPS.0.powf(part)).max(floor),
+            false => (was * LEVEL_STEPS.1.powf(part)).min(if hold { LEVEL.1 } else { LEVEL.2 }),
+        };
+        log_crossing(out, was, self.level, LEVEL.2, "shedding over quota has begun", "shedding has ended");
+        self.strain.fade(FADE.0, FADE.1);
+        self.gate.pressed.fade(FADE.0, FADE.1);
+        self.admitted.roll(period);
+        self.wake(period, Wake::Review);
+    }
+}
--- /dev/null
+++ b/src/interface.rs
@@ -0,0 +1,420 @@
+//! The types through which a node and the decision module speak: settings, events, actions.
+//!
+//! Times are microseconds of the node's own clock, which may start anywhere and only advances.
+
+/// A point in time or a span, in microseconds.
+pub type Micros = u64;
+/// Names one client request at this balancer; never used twice.
+pub type RequestId = u64;
+/// Names a server (or the origin); stays the same over restarts of its process.
+pub type ServerId = u32;
+/// The subject of a request; 0 means that it names none.
+pub type Key = u64;
+
+/// What a node is told once, at its start.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Settings {
+    /// How many balancers share the fleet.
+    pub balancers: u32,
+    /// The number of this balancer among them, from 0.
+    pub me: u32,
+    /// The zone that this balancer stands in.
+    pub zone: u8,
+    /// The classes of requests.
+    pub classes: Vec<Class>,
+    /// The tenants; empty where a deployment has none.
+    pub tenants: Vec<Tenant>,
+    /// Whether the server list must be asked for (subscription or whole list) or comes by itself.
+    pub ask_discovery: bool,
+    /// Without a subscription, the balancer counts as told of changes this long after they happened.
+    pub ask_within: Micros,
+    /// Machine kind of the origin in the server list; `None` where servers fetch for themselves.
+    pub origin_kind: Option<u16>,
+    /// Whether weights in the list tell the size of a server.
+    pub weights_are_sizes: bool,
+    /// Whether weights in the list tell size / (1 + requests held a core).
+    pub weights_are_live: bool,
+    /// The figures that load reports carry, in their order.
+    pub load_fields: Vec<LoadField>,
+    /// Attempts that one request may make.
+    pub max_attempts: u32,
+    /// Whether two attempts of one request may be out at once.
+    pub may_duplicate: bool,
+    /// Whether an attempt may be cancelled.
+    pub may_cancel: bool,
+    /// Whether servers may be probed.
+    pub may_probe: bool,
+    /// Whether balancers may send each other messages.
+    pub may_tell_peers: bool,
+    /// Price of the connections that one balancer in a hundred holds open to all servers ...
+    pub connection_price: f64,
+    /// ... and of opening one for each request.
+    pub handshake_price: f64,
+    /// The longest retry-after that clients honour; 0 where they honour none.
+    pub max_retry_after: Micros,
+    /// Shortest time between two calls of the module.
+    pub tick: Micros,
+    /// A server starts with at least this part of its capacity.
+    pub cold_share: f64,
+    /// A started server is warm after this time at the latest.
+    pub warm_up: Micros,
+    /// A cold server falls over when sent more than this multiple of what it can do ...
+    pub fall_multiple: f64,
+    /// ... for this long.
+    pub fall_after: Micros,
+    /// Sends to a draining or gone server must stop within this time.
+    pub drain_grace: Micros,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Settings {
+            balancers: 1,
+            me: 0,
+            zone: 0,
+            classes: vec![Class::default()],
+            tenants: Vec::new(),
+            ask_discovery: false,
+            ask_within: 10_000_000,
+            origin_kind: None,
+            weights_are_sizes: false,
+            weights_are_live: false,
+            load_fields: Vec::new(),
+            max_attempts: 3,
+            may_duplicate: true,
+            may_cancel: false,
+            may_probe: false,
+            may_tell_peers: false,
+            connection_price: 0.0,
+            handshake_price: 0.0,
+            max_retry_after: 0,
+            tick: 1_000,
+            cold_share: 0.25,
+            warm_up: 10_000_000,
+            fall_multiple: 3.0,
+            fall_after: 2_000_000,
+            drain_grace: 500_000,
+        }
+    }
+}
+
+/// A class of requests.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Class {
+    /// An answer within this time earns the full worth.
+    pub aim: Micros,
+    /// A client waits this long in all.
+    pub deadline: Micros,
+    /// Worth of one request.
+    pub worth: f64,
+    /// Part of the worth that an answer after the aim still earns.
+    pub late_worth: f64,
+    /// What a repeat of such a request does.
+    pub effect: Effect,
+}
+
+impl Default for Class {
+    fn default() -> Self {
+        Class { aim: 250_000, deadline: 1_000_000, worth: 1.0, late_worth: 0.0, effect: Effect::Safe }
+    }
+}
+
+/// What a repeat of a request does.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Effect {
+    /// Nothing: it may be sent as often as wanted.
+    Safe,
+    /// Servers of one group drop a repeat for a while after the first attempt.
+    Keyed {
+        /// Which servers drop a repeat.
+        group: Group,
+        /// For how long, from the sending of the earliest attempt that may have run.
+        window: Micros,
+    },
+    /// The effect happens again.
+    Unsafe,
+}
+
+/// A group of cache servers that knows which keyed requests its members have seen.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Group {
+    /// Every cache server.
+    All,
+    /// Those of one zone.
+    Zone,
+    /// Those of one cell.
+    Cell,
+}
+
+/// A tenant and its share.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Tenant {
+    /// Requests a second within its share, over all balancers together.
+    pub quota_per_s: f64,
+}
+
+/// A figure of a load report.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LoadField {
+    /// Requests in progress.
+    InFlight,
+    /// Requests that wait.
+    Queued,
+    /// Share of CPU in use.
+    Busy,
+    /// Recent service time, milliseconds.
+    ServiceMs,
+    /// Requests served a second.
+    Rate,
+    /// Errors a second.
+    ErrorRate,
+    /// A figure that this module gives no meaning.
+    Other,
+}
+
+/// A load report: figures in the order of [`Settings::load_fields`].
+#[derive(Debug, Clone, Copy, PartialEq, Default)]
+pub struct Load {
+    /// How many of `values` are there.
+    pub count: u8,
+    /// The figures.
+    pub values: [f32; 4],
+}
+
+/// One line of the server list.
+#[derive(Debug, Clone, PartialEq)]
+pub struct ServerLine {
+    /// The server.
+    pub id: ServerId,
+    /// Its zone.
+    pub zone: u8,
+    /// Its cell, a small group that shares which keyed requests it has seen.
+    pub cell: u16,
+    /// Its machine kind.
+    pub kind: u16,
+    /// Its weight.
+    pub weight: f32,
+    /// When its process last started; 0 for long ago.
+    pub started: Micros,
+    /// Whether it runs, drains or is gone.
+    pub condition: Condition,
+}
+
+impl Default for ServerLine {
+    fn default() -> Self {
+        ServerLine { id: 0, zone: 0, cell: 0, kind: 0, weight: 1.0, started: 0, condition: Condition::Ready }
+    }
+}
+
+/// What the list says of a server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Condition {
+    /// It runs.
+    Ready,
+    /// It ends what it has; nothing new may be sent to it.
+    Draining,
+    /// It is gone.
+    Gone,
+}
+
+/// How a server list relates to the one held.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ListKind {
+    /// The whole list; a server not in it is gone.
+    Full,
+    /// The list last held before a restart, whole but perhaps old.
+    Cached,
+    /// Only lines that changed.
+    Delta,
+    /// A call to discovery failed or the subscription broke; the list held stays in force.
+    Failed,
+}
+
+/// A client's request.
+#[derive(Debug, Clone, PartialEq, Default)]
+pub struct Request {
+    /// Its id.
+    pub id: RequestId,
+    /// Position of its class in [`Settings::classes`].
+    pub class: usize,
+    /// Position of its tenant in [`Settings::tenants`]; 0 where there are none.
+    pub tenant: usize,
+    /// Its key, 0 for none.
+    pub key: Key,
+    /// Whether it writes (and so goes to the origin).
+    pub write: bool,
+    /// Whether the client said that it repeats an earlier try.
+    pub repeat: bool,
+    /// Time until the client gives this try up.
+    pub time_left: Micros,
+    /// Expected work, where told.
+    pub cost: Option<Micros>,
+    /// Size of the value in bytes, 0 where not told.
+    pub size: f32,
+}
+
+/// How an attempt ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Status {
+    /// Served.
+    Served,
+    /// The server holds nothing for this key; it did not run.
+    Miss,
+    /// The server reported an error; it may have run.
+    Error,
+    /// Turned away unseen; it did not run.
+    Full,
+    /// No answer in time; it may have run or still run.
+    TimedOut,
+    /// No connection came about; it did not run.
+    ConnectFailed,
+    /// The connection was lost; it may have run.
+    Reset,
+    /// Cancelled by this balancer; it may have run.
+    Cancelled,
+    /// Never sent: the request had ended or had no attempts left; it did not run.
+    NotSent,
+}
+
+impl Status {
+    /// Whether this outcome proves that the attempt never ran.
+    pub fn proves_not_run(self) -> bool {
+        matches!(self, Status::Miss | Status::Full | Status::ConnectFailed | Status::NotSent)
+    }
+}
+
+/// What a server said of the key in its answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum Note {
+    /// Nothing.
+    #[default]
+    None,
+    /// The value was held.
+    Hit,
+    /// It was not.
+    Miss,
+    /// It was not, and another request has been told to fetch it.
+    MissBeingFetched,
+}
+
+/// The end of one attempt.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Outcome {
+    /// Its request.
+    pub request: RequestId,
+    /// Number of the attempt within its request, from 0, in the order of sending.
+    pub attempt: u16,
+    /// Where it had been sent.
+    pub server: ServerId,
+    /// How it ended.
+    pub status: Status,
+    /// Whether the request has its final answer (by this outcome or before).
+    pub over: bool,
+    /// What the server said of the key.
+    pub note: Note,
+    /// Time from sending to this end.
+    pub took: Micros,
+    /// Load report of the server, if one came along.
+    pub load: Load,
+}
+
+/// Something that happened at this balancer.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Event {
+    /// The server list, or a change of it.
+    ServerList {
+        /// How it relates to the list held.
+        kind: ListKind,
+        /// Its lines.
+        servers: Vec<ServerLine>,
+    },
+    /// A client's request arrived; one final answer is owed from now on.
+    Request(Request),
+    /// An attempt ended.
+    Outcome(Outcome),
+    /// A streamed answer began; the attempt belongs to the client now.
+    AnswerBegan {
+        /// Its request.
+        request: RequestId,
+        /// The attempt that began to answer.
+        attempt: u16,
+    },
+    /// The client left, or the request ended otherwise; nothing is owed any more.
+    ClientGone(RequestId),
+    /// A timer set by [`Action::Timer`] is due.
+    Timer(u32),
+    /// The end of a probe.
+    Probed {
+        /// The server probed.
+        server: ServerId,
+        /// Whether it answered well.
+        ok: bool,
+        /// Time from sending to this end.
+        took: Micros,
+        /// Load report of the server, if one came along.
+        load: Load,
+    },
+    /// A message of another balancer.
+    PeerMessage {
+        /// Number of the sender.
+        from: u32,
+        /// Its bytes.
+        bytes: Vec<u8>,
+    },
+}
+
+/// Something that the node is to do, in the order given.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Action {
+    /// Send an attempt of a request to a server.
+    Send {
+        /// The request.
+        request: RequestId,
+        /// The server.
+        server: ServerId,
+        /// Give the attempt up after this time; 0 for the client's own limit.
+        give_up_after: Micros,
+    },
+    /// Final answer: turned away, a retry is harmless.
+    Refuse {
+        /// The request.
+        request: RequestId,
+        /// Ask the client to stay away for this long; 0 for no hint.
+        retry_after: Micros,
+    },
+    /// Final answer: failed, with no promise.
+    Fail(RequestId),
+    /// Stop waiting for an attempt.
+    Cancel {
+        /// The request.
+        request: RequestId,
+        /// The attempt.
+        attempt: u16,
+    },
+    /// Call back with [`Event::Timer`] after a time.
+    Timer {
+        /// The time from now.
+        after: Micros,
+        /// Given back with the event.
+        token: u32,
+    },
+    /// Subscribe to (or leave) the changes of the server list.
+    Subscribe(bool),
+    /// Ask for the whole server list once.
+    FetchList,
+    /// Probe a server.
+    Probe(ServerId),
+    /// Close idle connections to a server.
+    CloseIdle(ServerId),
+    /// Send at most 256 bytes to one balancer, or to all.
+    Tell {
+        /// Number of the balancer; `None` for every peer.
+        to: Option<u32>,
+        /// The bytes.
+        bytes: Vec<u8>,
+    },
+    /// A line for the log.
+    Log(String),
+    /// The module cannot go on.
+    Fault(String),
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,36 @@
+//! Decisions of a router in front of fleets of cache servers, as a pure and deterministic state machine.
+//!
+//! A [`Policy`] is one balancer's mind. It is told what happens ([`Event`]) and when, and answers with what
+//! to do ([`Action`]). It has no clock, no threads and no I/O: the node that embeds it owns the sockets.
+//!
+//! ```
+//! use spardeal::{Action, Condition, Event, ListKind, Policy, Request, ServerLine, Settings};
+//!
+//! let settings = Settings::default();
+//! let mut policy = Policy::new(settings, 42);
+//! let mut actions = Vec::new();
+//!
+//! // The balancer starts at some clock value (microseconds) with the server list it last held.
+//! let servers = vec![
+//!     ServerLine { id: 7, condition: Condition::Ready, ..ServerLine::default() },
+//!     ServerLine { id: 9, condition: Condition::Ready, ..ServerLine::default() },
+//! ];
+//! policy.handle(1_000_000, Event::ServerList { kind: ListKind::Cached, servers }, &mut actions);
+//!
+//! // A client asks for a key; the policy names the cache server to try first.
+//! let request = Request { id: 1, key: 0xfeed, time_left: 500_000, ..Request::default() };
+//! policy.handle(1_000_100, Event::Request(request), &mut actions);
+//! assert!(actions.iter().any(|a| matches!(a, Action::Send { request: 1, server: 7 | 9, .. })));
+//! ```
+
+mod brain;
+pub mod interface;
+mod state;
+
+pub use interface::*;
+pub use state::Policy;
+
+/// Runs the example of the README as a test.
+#[cfg(doctest)]
+#[doc = include_str!("../README.md")]
+pub struct Readme;
--- /dev/null
+++ b/src/state.rs
@@ -0,0 +1,316 @@
+//! What a balancer keeps in memory: plain types, the queue of wake-ups and the hash. No decisions.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap, VecDeque};
+
+use oorandom::Rand64;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::interface::{Action, Group, Key, Micros, RequestId, ServerId, ServerLine, Settings};
+
+/// The mind of one balancer: what it was told, what it has seen and what it owes.
+#[derive(Default)]
+pub struct Policy {
+    pub(crate) settings: Settings,
+    pub(crate) rng: Random,
+    pub(crate) now: Micros,
+    /// The longest aim of all classes, the shortest, the measure of the origin.
+    pub(crate) aim: Micros,
+    pub(crate) origin_aim: Micros,
+    pub(crate) servers: BTreeMap<ServerId, Server>,
+    pub(crate) held: BTreeMap<RequestId, Held>,
+    pub(crate) flights: BTreeMap<(RequestId, u16), Flight>,
+    pub(crate) gate: Gate,
+    pub(crate) senders: Vec<Bucket>,
+    pub(crate) pool: Bucket,
+    /// This balancer's equal part of all quotas, 0 where there are none.
+    pub(crate) quota_share: f64,
+    pub(crate) level: f64,
+    /// Signs of overload in the attempts of the last reviews.
+    pub(crate) strain: Ratio,
+    pub(crate) repeats: f64,
+    /// The keys last asked for, latest first.
+    pub(crate) recent: VecDeque<Key>,
+    pub(crate) cache_out: u32,
+    /// Weight of all cache servers that are ready.
+    pub(crate) total: f64,
+    /// Time that a server takes for one request, without its queue.
+    pub(crate) service: f64,
+    pub(crate) crowded: bool,
+    pub(crate) admitted: Rate,
+    pub(crate) wakes: Wakes,
+    pub(crate) subscribe_tries: u32,
+}
+
+/// Why an attempt is out.
+#[derive(Clone, Copy, PartialEq)]
+pub enum Call {
+    Cache,
+    Fetch,
+    Write,
+}
+
+/// An attempt without outcome yet; it may outlive its request.
+#[derive(Clone, Copy)]
+pub struct Flight {
+    pub server: ServerId,
+    pub call: Call,
+    pub sent: Micros,
+    pub aim: Micros,
+    /// It is slow when it has been out for this long.
+    pub slow_after: Micros,
+}
+
+/// A server of the list, and what this balancer has seen of it.
+#[derive(Default)]
+pub struct Server {
+    pub line: ServerLine,
+    pub origin: bool,
+    /// The highest weight seen; where weights fall with load, that of the idle server.
+    pub size: f32,
+    pub in_flight: u32,
+    pub heard: Micros,
+    /// Its answers within about one aim, as a fading count.
+    pub answered: f64,
+    pub strikes: u32,
+    /// Whether the last failure was one to connect.
+    pub unreachable: bool,
+    /// Until when it is set aside (0: it is not), and for how long that was.
+    pub aside: (Micros, Micros),
+    /// Level and time of the bucket that holds bursts at a cold server.
+    pub cold: (f64, Micros),
+}
+
+impl Server {
+    /// Its answers as they count at a time, fading over a span.
+    pub fn answered_lately(&self, now: Micros, span: Micros) -> f64 {
+        self.answered * (-((now - self.heard) as f64) / span as f64).exp()
+    }
+
+    /// Requests that it holds for each core, as far as its weight tells.
+    pub fn held_per_core(&self) -> f64 {
+        f64::from(self.size / self.line.weight.max(1e-3) - 1.0).max(0.0)
+    }
+
+    /// Whether two servers know of each other's keyed requests. The origin is a group of its own: cache
+    /// servers do not know what it has seen.
+    pub fn shares_group(&self, other: &Server, group: Group) -> bool {
+        match group {
+            _ if self.origin || other.origin => self.line.id == other.line.id,
+            Group::All => true,
+            Group::Zone => self.line.zone == other.line.zone,
+            Group::Cell => self.line.cell == other.line.cell,
+        }
+    }
+}
+
+/// A request that is owed a final answer.
+#[derive(Default)]
+pub struct Held {
+    pub class: usize,
+    pub key: Key,
+    pub write: bool,
+    pub missed: bool,
+    /// The tenant whose bucket paid for it.
+    pub charged: Option<usize>,
+    pub aim_at: Micros,
+    pub ends: Micros,
+    pub sent: u16,
+    pub out: u16,
+    /// Attempts that run or may have run, oldest first.
+    pub may_have_run: Vec<(u16, Micros, ServerId)>,
+    pub tried: Vec<ServerId>,
+    /// Number of the wait that it is in; a wake-up for an older one finds it changed.
+    pub wait: u32,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Wake {
+    End(RequestId),
+    Go(RequestId, u32),
+    Patience(RequestId, u16),
+    Subscribe,
+    Review,
+}
+
+/// The gate before the origin: calls out and calls in the present window, of all kinds and fetches alone.
+#[derive(Default)]
+pub struct Gate {
+    pub limit: f64,
+    pub out: [u32; 2],
+    pub tally: [u32; 2],
+    pub window: Micros,
+    pub cut_at: Micros,
+    /// Tries to go through of late that found it shut.
+    pub pressed: Ratio,
+}
+
+impl Gate {
+    /// Raises the counters just before a call.
+    pub fn enter(&mut self, call: Call) {
+        for i in 0..=usize::from(call == Call::Fetch) {
+            self.out[i] += 1;
+            self.tally[i] += 1;
+        }
+    }
+
+    /// Begins a new tally when the window of the present one is over.
+    pub fn roll(&mut self, now: Micros, window: Micros) {
+        if now >= self.window + window {
+            (self.window, self.tally) = (now, [0, 0]);
+        }
+    }
+
+    /// Lowers the counters after any outcome of a call.
+    pub fn leave(&mut self, call: Call) {
+        for i in 0..=usize::from(call == Call::Fetch) {
+            self.out[i] -= 1;
+        }
+    }
+}
+
+/// How many cases among all of late; both fade.
+#[derive(Default)]
+pub struct Ratio {
+    cases: f64,
+    all: f64,
+    /// Counted among since the last fading.
+    pub fresh: f64,
+}
+
+impl Ratio {
+    /// Counts cases, and among how many.
+    pub fn add(&mut self, cases: f64, all: f64) {
+        self.cases += cases;
+        self.all += all;
+        self.fresh += all;
+    }
+
+    /// The cases as a part of all.
+    pub fn value(&self) -> f64 {
+        self.cases / self.all.max(1.0)
+    }
+
+    /// Lets the past count for less, while more than the least are left.
+    pub fn fade(&mut self, keep: f64, least: f64) {
+        let keep = if self.all > least { keep } else { 1.0 };
+        (self.cases, self.all, self.fresh) = (self.cases * keep, self.all * keep, 0.0);
+    }
+}
+
+/// Events a second, smoothed over about a second.
+#[derive(Default)]
+pub struct Rate {
+    counted: f64,
+    pub per_s: f64,
+}
+
+impl Rate {
+    /// Counts an event.
+    pub fn count(&mut self) {
+        self.counted += 1.0;
+    }
+
+    /// Takes what was counted in a period into the rate.
+    pub fn roll(&mut self, period: Micros) {
+        let seconds = period as f64 / 1e6;
+        self.per_s += (self.counted / seconds - self.per_s) * seconds.min(1.0);
+        self.counted = 0.0;
+    }
+}
+
+/// A token bucket.
+#[derive(Default, Clone)]
+pub struct Bucket {
+    tokens: f64,
+    filled_at: Micros,
+}
+
+impl Bucket {
+    /// Fills it at a rate a second up to a depth, and tells whether there is a token to take.
+    pub fn fill(&mut self, now: Micros, per_s: f64, depth: f64) -> bool {
+        let more = per_s.max(0.0) * now.saturating_sub(self.filled_at) as f64 / 1e6;
+        self.tokens = if more.is_nan() { self.tokens } else { (self.tokens + more).min(depth) };
+        self.filled_at = now;
+        self.tokens >= 1.0
+    }
+
+    /// Takes a token, the last bit where there is no whole one.
+    pub fn take(&mut self) {
+        self.tokens = (self.tokens - 1.0).max(0.0);
+    }
+
+    /// Gives a token back.
+    pub fn give_back(&mut self) {
+        self.tokens += 1.0;
+    }
+}
+
+/// Wake-ups in the order of their times; one timer of the node stands for all of them.
+#[derive(Default)]
+pub struct Wakes {
+    queue: BinaryHeap<Reverse<(Micros, Wake)>>,
+    armed: Option<Micros>,
+}
+
+impl Wakes {
+    /// Asks to be woken at a time.
+    pub fn at(&mut self, time: Micros, wake: Wake) {
+        self.queue.push(Reverse((time, wake)));
+    }
+
+    /// The timer that was set has come.
+    pub fn timer_came(&mut self) {
+        self.armed = None;
+    }
+
+    /// The next wake-up that is due; when none is, sees that a timer is set for the first to come.
+    pub fn due(&mut self, now: Micros, out: &mut Vec<Action>) -> Option<Wake> {
+        let &Reverse((time, wake)) = self.queue.peek()?;
+        if time <= now {
+            self.queue.pop();
+            return Some(wake);
+        }
+        if self.armed.is_none_or(|armed| time < armed) {
+            self.armed = Some(time);
+            out.push(Action::Timer { after: time - now, token: 0 });
+        }
+        None
+    }
+}
+
+/// Logs when a figure falls below a mark or rises to it again.
+pub fn log_crossing(out: &mut Vec<Action>, was: f64, is: f64, mark: f64, fallen: &str, risen: &str) {
+    if (was < mark) != (is < mark) {
+        out.push(Action::Log(if is < mark { fallen } else { risen }.into()));
+    }
+}
+
+/// A number between 0 and 1, fixed for a key, a server and a purpose.
+pub fn unit_hash(key: Key, server: ServerId, purpose: u64) -> f64 {
+    let mut bytes = [0u8; 12];
+    bytes[..8].copy_from_slice(&key.to_le_bytes());
+    bytes[8..].copy_from_slice(&server.to_le_bytes());
+    ((xxh3_64_with_seed(&bytes, purpose) >> 11) as f64 + 0.5) / (1u64 << 53) as f64
+}
+
+/// Random numbers that depend on the seed alone.
+pub struct Random(Rand64);
+
+impl Random {
+    /// A source with a seed.
+    pub fn new(seed: u64) -> Self {
+        Random(Rand64::new(seed.into()))
+    }
+
+    /// A number from 0 to below 1.
+    pub fn unit(&mut self) -> f64 {
+        self.0.rand_float()
+    }
+}
+
+impl Default for Random {
+    fn default() -> Self {
+        Random::new(0)
+    }
+}
--- /dev/null
+++ b/tests/common/mod.rs
@@ -0,0 +1,137 @@
+//! A node in miniature: drives a policy event by event and keeps what it answered.
+#![allow(dead_code, missing_docs)]
+
+use spardeal::*;
+
+pub const ORIGIN_KIND: u16 = 1;
+pub const ORIGIN: ServerId = 1000;
+pub const MS: Micros = 1_000;
+pub const SECOND: Micros = 1_000_000;
+
+pub struct Node {
+    pub policy: Policy,
+    pub now: Micros,
+    pub actions: Vec<Action>,
+    timers: Vec<Micros>,
+}
+
+pub fn settings() -> Settings {
+    let read = Class { aim: 750 * MS, deadline: 1500 * MS, ..Class::default() };
+    let keyed = Effect::Keyed { group: Group::All, window: 200 * MS };
+    let write = Class { aim: 150 * MS, deadline: 300 * MS, effect: keyed, ..Class::default() };
+    let once =
+        Class { aim: 300 * MS, deadline: SECOND, effect: Effect::Unsafe, worth: 8.0, ..Class::default() };
+    Settings {
+        classes: vec![read, write, once],
+        origin_kind: Some(ORIGIN_KIND),
+        max_attempts: 4,
+        ..Settings::default()
+    }
+}
+
+pub fn server(id: ServerId) -> ServerLine {
+    ServerLine { id, ..ServerLine::default() }
+}
+
+pub fn origin() -> ServerLine {
+    ServerLine { id: ORIGIN, kind: ORIGIN_KIND, ..ServerLine::default() }
+}
+
+pub fn read(id: RequestId, key: Key) -> Request {
+    Request { id, key, time_left: 1500 * MS, ..Request::default() }
+}
+
+pub fn write(id: RequestId, class: usize) -> Request {
+    Request { id, key: 5, class, write: true, time_left: 300 * MS, ..Request::default() }
+}
+
+impl Node {
+    /// A node that has run for some time without strain.
+    pub fn new(settings: Settings, servers: u32) -> Self {
+        let mut node = Node::just_started(settings, servers);
+        node.pass(10 * SECOND);
+        node
+    }
+
+    /// A node with cache servers 1 to `servers` and an origin, a minute after their start.
+    pub fn just_started(settings: Settings, servers: u32) -> Self {
+        let policy = Policy::new(settings, 7);
+        let mut node = Node { policy, now: 60 * SECOND, actions: Vec::new(), timers: Vec::new() };
+        let mut lines: Vec<_> = (1..=servers).map(server).collect();
+        lines.push(origin());
+        node.list(ListKind::Cached, lines);
+        node
+    }
+
+    /// Passes an event on and returns what the policy answered to it.
+    pub fn event(&mut self, event: Event) -> Vec<Action> {
+        let mut out = Vec::new();
+        self.policy.handle(self.now, event, &mut out);
+        for action in &out {
+            if let Action::Timer { after, .. } = action {
+                self.timers.push(self.now + after.max(&1));
+            }
+        }
+        self.actions.extend(out.iter().cloned());
+        out
+    }
+
+    pub fn list(&mut self, kind: ListKind, servers: Vec<ServerLine>) -> Vec<Action> {
+        self.event(Event::ServerList { kind, servers })
+    }
+
+    pub fn request(&mut self, request: Request) -> Vec<Action> {
+        self.event(Event::Request(request))
+    }
+
+    pub fn outcome(
+        &mut self,
+        request: RequestId,
+        attempt: u16,
+        server: ServerId,
+        status: Status,
+    ) -> Vec<Action> {
+        let over = status == Status::Served;
+        let (note, load) = (Note::None, Load::default());
+        let outcome = Outcome { request, attempt, server, status, over, note, took: MS, load };
+        self.event(Event::Outcome(outcome))
+    }
+
+    /// Lets time pass, with the timers that come due, and returns what the policy answered meanwhile.
+    pub fn pass(&mut self, time: Micros) -> Vec<Action> {
+        let end = self.now + time;
+        let from = self.actions.len();
+        while let Some(due) = take_due(&mut self.timers, end) {
+            self.now = due;
+            self.event(Event::Timer(0));
+        }
+        self.now = end;
+        self.actions[from..].to_vec()
+    }
+}
+
+/// Where the first attempt among these actions goes.
+pub fn sent_to(actions: &[Action]) -> Option<ServerId> {
+    actions.iter().find_map(|a| match a {
+        Action::Send { server, .. } => Some(*server),
+        _ => None,
+    })
+}
+
+pub fn sends(actions: &[Action]) -> usize {
+    actions.iter().filter(|a| matches!(a, Action::Send { .. })).count()
+}
+
+pub fn refused(actions: &[Action], id: RequestId) -> bool {
+    actions.iter().any(|a| matches!(a, Action::Refuse { request, .. } if *request == id))
+}
+
+pub fn failed(actions: &[Action], id: RequestId) -> bool {
+    actions.contains(&Action::Fail(id))
+}
+
+/// Takes out the first of the timers that is due by a time.
+pub fn take_due(timers: &mut Vec<Micros>, end: Micros) -> Option<Micros> {
+    let (at, due) = timers.iter().copied().enumerate().min_by_key(|(_, due)| *due)?;
+    (due <= end).then(|| timers.swap_remove(at))
+}
--- /dev/null
+++ b/tests/drill.rs
@@ -0,0 +1,295 @@
+//! The adapter as a process: frames built by hand go in, replies are read byte by byte.
+#![allow(missing_docs)]
+
+use std::io::{Read, Write};
+use std::process::{Child, Command, Output, Stdio};
+
+const SETTINGS: &str = r#"{"balancers":1,"classes":[{"deadlineUs":1500000,"effect":"pure","goalTimeUs":750000,
+ "gain":1.0,"name":"a"}],"discovery":"ask","unknown":{"x":1},"limits":{"maxAttempts":3},
+ "specifics":{"mode":"aside","originKind":1},"periodUs":1000}"#;
+
+#[derive(Default)]
+struct Batch {
+    records: Vec<[u8; 48]>,
+    tail: Vec<u8>,
+}
+
+impl Batch {
+    fn record(&mut self, code: u8, node: u16, fields: &[(usize, &[u8])]) -> &mut Self {
+        let mut r = [0u8; 48];
+        r[0] = code;
+        r[1..3].copy_from_slice(&node.to_le_bytes());
+        for (at, bytes) in fields {
+            r[*at..at + bytes.len()].copy_from_slice(bytes);
+        }
+        self.records.push(r);
+        self
+    }
+
+    fn part(&mut self, bytes: &[u8], count: usize) -> [u8; 8] {
+        let mut field = [0u8; 8];
+        field[..4].copy_from_slice(&(self.tail.len() as u32).to_le_bytes());
+        field[4..].copy_from_slice(&(count as u32).to_le_bytes());
+        self.tail.extend_from_slice(bytes);
+        field
+    }
+
+    fn start(&mut self, node: u16, settings: &str) -> &mut Self {
+        let part = self.part(settings.as_bytes(), settings.len());
+        self.record(5, node, &[(3, &7u64.to_le_bytes()), (11, &part)])
+    }
+
+    /// A list of ready servers (id and machine kind), then its number to the instance.
+    fn list(&mut self, node: u16, number: u16, how: u8, servers: &[(u32, u16)]) -> &mut Self {
+        let mut lines = Vec::new();
+        for (id, kind) in servers {
+            lines.extend_from_slice(&[0; 9]);
+            lines.push(1);
+            lines.extend_from_slice(&id.to_le_bytes());
+            lines.extend_from_slice(&[0; 2]);
+            lines.extend_from_slice(&kind.to_le_bytes());
+            lines.extend_from_slice(&1f32.to_le_bytes());
+        }
+        let part = self.part(&lines, servers.len());
+        self.record(9, number, &[(3, &part)]);
+        self.record(10, node, &[(3, &number.to_le_bytes()), (9, &[how])])
+    }
+
+    fn demand(&mut self, node: u16, id: u64, key: u64) -> &mut Self {
+        let budget = 1_500_000u32.to_le_bytes();
+        self.record(4, node, &[(3, &id.to_le_bytes()), (19, &key.to_le_bytes()), (31, &budget)])
+    }
+
+    fn report(&mut self, node: u16, id: u64, attempt: u16, server: u32, code: u16) -> &mut Self {
+        let (id, attempt, server) = (id.to_le_bytes(), attempt.to_le_bytes(), server.to_le_bytes());
+        self.record(3, node, &[(3, &id), (19, &attempt), (22, &code.to_le_bytes()), (24, &server)])
+    }
+
+    fn frame(&self, now: u64, number: u32) -> Vec<u8> {
+        let length = (self.records.len() * 48 + self.tail.len()) as u32;
+        let mut frame = now.to_le_bytes().to_vec();
+        frame.extend_from_slice(&length.to_le_bytes());
+        frame.extend_from_slice(&(self.records.len() as u32).to_le_bytes());
+        frame.extend_from_slice(&number.to_le_bytes());
+        self.records.iter().for_each(|r| frame.extend_from_slice(r));
+        frame.extend_from_slice(&self.tail);
+        frame
+    }
+}
+
+fn spawn() -> Child {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_spardeal-drill"));
+    command.stdin(Stdio::piped()).stdout(Stdio::piped()).stderr(Stdio::piped());
+    command.spawn().expect("the wirehost starts")
+}
+
+fn run(input: &[u8]) -> Output {
+    let mut child = spawn();
+    // It may stop reading at a fault: a broken pipe is then expected.
+    let _ = child.stdin.take().expect("piped").write_all(input);
+    child.wait_with_output().expect("ended")
+}
+
+fn u32_at(b: &[u8], at: usize) -> u32 {
+    u32::from_le_bytes(b[at..at + 4].try_into().unwrap())
+}
+
+/// The action records of the replies in an output, by batch.
+fn replies(mut out: &[u8]) -> Vec<Vec<Vec<u8>>> {
+    let mut replies = Vec::new();
+    while !out.is_empty() {
+        let (count, length) = (u32_at(out, 0) as usize, u32_at(out, 4) as usize);
+        assert!(length >= count * 24);
+        let body = &out[12..12 + length];
+        replies.push((0..count).map(|i| body[i * 24..(i + 1) * 24].to_vec()).collect());
+        out = &out[12 + length..];
+    }
+    replies
+}
+
+fn sends(records: &[Vec<u8>]) -> Vec<(u16, u64, u32)> {
+    let node = |r: &[u8]| u16::from_le_bytes([r[1], r[2]]);
+    let id = |r: &[u8]| u64::from_le_bytes(r[3..11].try_into().unwrap());
+    let sent = records.iter().filter(|r| r[0] == 1);
+    sent.map(|r| (node(r), id(r), u32_at(r, 11))).collect()
+}
+
+#[test]
+fn an_empty_batch_has_the_reply_of_the_protocol_page() {
+    let input = [0x5a, 0x5c, 0x80, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 1, 0, 0, 0];
+    let output = run(&input);
+    assert!(output.status.success());
+    assert_eq!(output.stdout, [0, 0, 0, 0, 0, 0, 0, 0, 1, 0, 0, 0]);
+}
+
+#[test]
+fn no_input_ends_well_and_says_nothing() {
+    let output = run(&[]);
+    assert!(output.status.success() && output.stdout.is_empty() && output.stderr.is_empty());
+}
+
+#[test]
+fn a_request_is_sent_missed_fetched_and_each_reply_comes_before_the_next_batch() {
+    let mut child = spawn();
+    let (mut stdin, mut stdout) = (child.stdin.take().unwrap(), child.stdout.take().unwrap());
+    let mut ask = |batch: &Batch, now: u64, number: u32| {
+        stdin.write_all(&batch.frame(now, number)).unwrap();
+        let mut header = [0u8; 12];
+        stdout.read_exact(&mut header).unwrap();
+        assert_eq!(u32_at(&header, 8), number);
+        let mut body = vec![0u8; u32_at(&header, 4) as usize];
+        stdout.read_exact(&mut body).unwrap();
+        replies(&[&header[..], &body[..]].concat()).remove(0)
+    };
+    let mut first = Batch::default();
+    first.start(3, SETTINGS).list(3, 0, 1, &[(11, 0), (500, 1)]).demand(3, 77, 9);
+    let answer = ask(&first, 1_000_000, 1);
+    assert_eq!(sends(&answer), [(3, 77, 11)]);
+    assert!(answer.iter().any(|r| r[0] == 11 && r[3] == 1), "subscribes where discovery is asked");
+    let mut second = Batch::default();
+    second.report(3, 77, 0, 11, 204);
+    assert_eq!(sends(&ask(&second, 1_010_000, 2)), [(3, 77, 500)]);
+    let mut third = Batch::default();
+    third.report(3, 77, 1, 500, 200);
+    assert_eq!(sends(&ask(&third, 1_020_000, 3)), []);
+    drop(stdin);
+    assert!(child.wait().unwrap().success());
+}
+
+#[test]
+fn list_numbers_are_resolved_in_the_order_of_events() {
+    let mut batch = Batch::default();
+    batch.start(0, SETTINGS).start(1, SETTINGS);
+    batch.list(0, 4, 1, &[(11, 0)]).list(1, 4, 1, &[(22, 0)]);
+    batch.demand(0, 1, 9).demand(1, 2, 9);
+    let output = run(&batch.frame(1_000_000, 1));
+    assert_eq!(sends(&replies(&output.stdout)[0]), [(0, 1, 11), (1, 2, 22)]);
+}
+
+#[test]
+fn an_instance_killed_and_started_in_one_batch_begins_anew() {
+    let mut batch = Batch::default();
+    batch.start(0, SETTINGS).list(0, 0, 1, &[(11, 0)]);
+    batch.record(7, 0, &[]).start(0, SETTINGS).list(0, 1, 1, &[(12, 0)]).demand(0, 1, 9);
+    let output = run(&batch.frame(1_000_000, 1));
+    assert_eq!(sends(&replies(&output.stdout)[0]), [(0, 1, 12)]);
+}
+
+#[test]
+fn every_event_of_the_wire_is_read() {
+    let mut batch = Batch::default();
+    batch.start(0, SETTINGS).list(0, 0, 1, &[(11, 0)]).demand(0, 1, 9);
+    let blob = batch.part(b"hello", 5);
+    batch.record(1, 0, &[(3, &99u64.to_le_bytes())]);
+    batch.record(2, 0, &[(3, &5u32.to_le_bytes())]);
+    batch.record(6, 0, &[(3, &200u16.to_le_bytes()), (9, &11u32.to_le_bytes()), (13, &[4])]);
+    batch.record(8, 0, &[(3, &1u64.to_le_bytes()), (11, &11u32.to_le_bytes())]);
+    batch.record(10, 0, &[(9, &[2])]);
+    batch.record(11, 0, &[(3, &1u32.to_le_bytes()), (7, &blob)]);
+    for (attempt, code) in [200, 502, 429, 408, 521, 520, 444, 409, 204].into_iter().enumerate() {
+        batch.report(0, 1, attempt as u16, 11, code);
+    }
+    assert!(run(&batch.frame(1_000_000, 1)).status.success());
+}
+
+#[test]
+fn malformed_input_ends_with_one_plain_line_and_no_half_reply() {
+    let started = |f: &dyn Fn(&mut Batch)| {
+        let mut batch = Batch::default();
+        batch.start(0, SETTINGS).list(0, 0, 1, &[(11, 0)]);
+        f(&mut batch);
+        batch.frame(1_000_000, 1)
+    };
+    let whole = started(&|_| {});
+    let mut long = whole.clone();
+    long[8..12].copy_from_slice(&u32::MAX.to_le_bytes());
+    let mut many = whole.clone();
+    many[12..16].copy_from_slice(&u32::MAX.to_le_bytes());
+    let mut bad_settings = Batch::default();
+    bad_settings.start(0, "{\"classes\": 3}");
+    let mut bad_effect = Batch::default();
+    bad_effect.start(0, "{\"classes\": [{\"effect\": \"maybe\"}]}");
+    let far = [0xff, 0xff, 0xff, 0xff, 9, 0, 0, 0];
+    let cases: Vec<(&str, Vec<u8>)> = vec![
+        ("truncated frame", whole[..10].to_vec()),
+        ("truncated frame", whole[..60].to_vec()),
+        ("truncated frame", long),
+        ("records exceed", many),
+        (
+            "unknown event code 77",
+            started(&|b| {
+                b.record(77, 0, &[]);
+            }),
+        ),
+        (
+            "unknown instance 5",
+            started(&|b| {
+                b.demand(5, 1, 9);
+            }),
+        ),
+        (
+            "unknown instance 5",
+            started(&|b| {
+                b.record(7, 5, &[]);
+            }),
+        ),
+        (
+            "unknown outcome 999",
+            started(&|b| {
+                b.report(0, 1, 0, 11, 999);
+            }),
+        ),
+        (
+            "leave the frame",
+            started(&|b| {
+                b.record(9, 0, &[(3, &far)]);
+            }),
+        ),
+        (
+            "leave the frame",
+            started(&|b| {
+                b.record(11, 0, &[(7, &far)]);
+            }),
+        ),
+        (
+            "out of range",
+            started(&|b| {
+                b.record(9, 16, &[]);
+            }),
+        ),
+        (
+            "unknown list 7",
+            started(&|b| {
+                b.record(10, 0, &[(3, &[7, 0])]);
+            }),
+        ),
+        (
+            "unknown kind 9",
+            started(&|b| {
+                b.record(10, 0, &[(9, &[9])]);
+            }),
+        ),
+        (
+            "class 3",
+            started(&|b| {
+                b.record(4, 0, &[(14, &[3])]);
+            }),
+        ),
+        (
+            "tenant 2",
+            started(&|b| {
+                b.record(4, 0, &[(11, &[2])]);
+            }),
+        ),
+        ("unreadable settings", bad_settings.frame(1, 1)),
+        ("unreadable settings", bad_effect.frame(1, 1)),
+    ];
+    for (expected, input) in cases {
+        let output = run(&input);
+        let message = String::from_utf8(output.stderr).unwrap();
+        assert_eq!(output.status.code(), Some(1), "{expected}: {message}");
+        assert!(message.contains(expected), "expected {expected:?} in {message:?}");
+        assert_eq!(message.lines().count(), 1, "{message}");
+        assert!(output.stdout.is_empty(), "{expected}: no reply half written");
+    }
+}
