--- a/src/bin/spardeal-drill/main.rs
+++ b/src/bin/spardeal-drill/main.rs
@@ -1,14 +1,13 @@
 //! Hosts instances of the decision module on the simulator's wire. It translates and decides nothing.
 
 mod codec;
-mod settings;
 
 use std::collections::HashMap;
 use std::io::{self, Read, Write};
 use std::process::ExitCode;
 
 use codec::{BATCH_HEADER, BatchHeader, Record, Reply};
-use spardeal::{Action, Event, ListKind, Micros, Policy, ServerLine};
+use spardeal::{Action, Event, ListKind, Micros, Policy, ServerLine, settings};
 
 /// Numbered lists run from 0 to this, exclusive.
 const LISTS: usize = 16;
@@ -41,7 +40,7 @@
     fn record(&mut self, now: Micros, record: Record<'_>) -> Result<(), String> {
         match record {
             Record::Start { node, seed, settings } => {
-                let settings = settings::read(settings)?;
+                let settings = settings::read(settings)?.settings;
                 let (classes, tenants) = (settings.classes.len(), settings.tenants.len());
                 let policy = Policy::new(settings, seed);
                 self.instances.insert(node, Instance { policy, classes, tenants });
--- /dev/null
+++ b/src/bin/spardeal-node/discovery.rs
@@ -0,0 +1,237 @@
+//! Discovery: the whole list, and the watch on its changes.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use bytes::BytesMut;
+use serde::Deserialize;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+use tokio::task::AbortHandle;
+
+use crate::http::{self, Chunks};
+use crate::log;
+use crate::node::Input;
+
+/// A list of servers, or a change of it.
+#[derive(Deserialize, Default, Debug)]
+pub struct Listing {
+    /// Its version.
+    #[serde(default)]
+    pub index: u64,
+    /// Whether it is whole.
+    #[serde(default)]
+    pub snapshot: bool,
+    /// Its entries.
+    pub endpoints: Vec<Endpoint>,
+}
+
+/// A server of the list.
+#[derive(Deserialize, Debug)]
+pub struct Endpoint {
+    pub name: String,
+    #[serde(default)]
+    pub address: String,
+    #[serde(default)]
+    pub zone: String,
+    #[serde(default, rename = "type")]
+    pub kind: String,
+    #[serde(default)]
+    pub group: u16,
+    pub status: String,
+    #[serde(default = "one")]
+    pub weight: f32,
+    #[serde(default)]
+    pub since_ms: u64,
+}
+
+fn one() -> f32 {
+    1.0
+}
+
+const CONNECT: Duration = Duration::from_secs(1);
+/// Calls wait in turn at discovery: it is given this long to begin its answer.
+const ANSWER: Duration = Duration::from_secs(8);
+/// A watch brings a line every two seconds: one that is silent for longer is dead.
+const SILENCE: Duration = Duration::from_secs(5);
+/// Pauses before a watch on pushed lists is opened again: the first, and the longest.
+const BACKOFF: (Duration, Duration) = (Duration::from_millis(100), Duration::from_secs(2));
+/// The longest list.
+const MAX_LIST: usize = 4 * 1024 * 1024;
+
+/// The calls to discovery that are out: one watch and one whole list at most.
+pub struct Discovery {
+    address: SocketAddr,
+    /// Version of the list held.
+    index: Arc<AtomicU64>,
+    hub: mpsc::Sender<Input>,
+    watch: Option<AbortHandle>,
+    fetch: Option<AbortHandle>,
+}
+
+impl Discovery {
+    /// Discovery at an address, where a list of a version is held.
+    pub fn new(address: SocketAddr, index: u64, hub: mpsc::Sender<Input>) -> Self {
+        Discovery { address, index: Arc::new(AtomicU64::new(index)), hub, watch: None, fetch: None }
+    }
+
+    /// Version of the list held.
+    pub fn index(&self) -> u64 {
+        self.index.load(Ordering::Relaxed)
+    }
+
+    /// A list of a version is held now.
+    pub fn held(&self, index: u64) {
+        self.index.store(index, Ordering::Relaxed);
+    }
+
+    /// Begins the watch, anew if there is one, or ends it.
+    pub fn subscribe(&mut self, on: bool) {
+        self.watch.take().inspect(AbortHandle::abort);
+        let (address, hub, index) = (self.address, self.hub.clone(), self.index.clone());
+        let call = async move {
+            report(watch(address, &index, &hub).await);
+            let _ = hub.send(Input::ListFailed).await;
+        };
+        self.watch = on.then(|| tokio::spawn(call).abort_handle());
+    }
+
+    /// Asks for the whole list once.
+    pub fn fetch(&mut self) {
+        self.fetch.take().inspect(AbortHandle::abort);
+        let (address, hub) = (self.address, self.hub.clone());
+        let call = async move {
+            let called = lists(address, "/v1/servers", &hub).await;
+            if let Err(e) = called {
+                log(&format!("discovery: {e}"));
+                let _ = hub.send(Input::ListFailed).await;
+            }
+        };
+        self.fetch = Some(tokio::spawn(call).abort_handle());
+    }
+
+    /// Where lists are pushed, an agent on this machine has them: its watch is opened again by itself.
+    pub fn follow(&mut self) {
+        let (address, hub, index) = (self.address, self.hub.clone(), self.index.clone());
+        let call = async move {
+            let mut pause = BACKOFF.0;
+            loop {
+                let before = index.load(Ordering::Relaxed);
+                let _ = watch(address, &index, &hub).await;
+                let heard = index.load(Ordering::Relaxed) != before;
+                pause = if heard { BACKOFF.0 } else { (pause * 2).min(BACKOFF.1) };
+                tokio::time::sleep(pause).await;
+            }
+        };
+        self.watch = Some(tokio::spawn(call).abort_handle());
+    }
+}
+
+/// Why a call to discovery ended.
+enum CallError {
+    /// It broke, or could not be made.
+    Io(std::io::Error),
+    /// It was silent for too long.
+    Silent,
+    /// It was turned away.
+    Status(u16),
+    /// It brought what is no list; the list held stays in force.
+    Garbage,
+}
+
+impl std::fmt::Display for CallError {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            CallError::Io(e) => write!(f, "{e}"),
+            CallError::Silent => write!(f, "silent for too long"),
+            CallError::Status(status) => write!(f, "answered with status {status}"),
+            CallError::Garbage => write!(f, "brought no list, or one that was cut off"),
+        }
+    }
+}
+
+impl From<std::io::Error> for CallError {
+    fn from(e: std::io::Error) -> Self {
+        CallError::Io(e)
+    }
+}
+
+async fn watch(address: SocketAddr, index: &AtomicU64, hub: &mpsc::Sender<Input>) -> Result<(), CallError> {
+    let path = match index.load(Ordering::Relaxed) {
+        0 => "/v1/servers?watch=1".into(),
+        held => format!("/v1/servers?watch=1&after={held}"),
+    };
+    lists(address, &path, hub).await
+}
+
+fn report(called: Result<(), CallError>) {
+    match called {
+        Ok(()) => log("discovery: the watch has ended"),
+        Err(e) => log(&format!("discovery: {e}")),
+    }
+}
+
+/// Makes a call and passes on each line of its answer that holds a list, until the answer ends.
+async fn lists(address: SocketAddr, path: &str, hub: &mpsc::Sender<Input>) -> Result<(), CallError> {
+    let silent = |_| CallError::Silent;
+    let mut stream = tokio::time::timeout(CONNECT, TcpStream::connect(address)).await.map_err(silent)??;
+    let _ = stream.set_nodelay(true);
+    let request = format!("GET {path} HTTP/1.1\r\nHost: {address}\r\nAccept: application/json\r\n\r\n");
+    stream.write_all(request.as_bytes()).await?;
+    let (mut raw, mut body) = (BytesMut::new(), BytesMut::new());
+    let head = loop {
+        raw.reserve(4096);
+        let count = tokio::time::timeout(ANSWER, stream.read_buf(&mut raw)).await.map_err(silent)??;
+        match http::head(&raw).map_err(|_| CallError::Garbage)? {
+            Some(head) => break head,
+            None if count == 0 => return Err(CallError::Garbage),
+            None => {}
+        }
+    };
+    if head.status != 200 {
+        return Err(CallError::Status(head.status));
+    }
+    let _ = raw.split_to(head.length);
+    let mut chunks = Chunks::default();
+    let mut left = head.content_length.unwrap_or(usize::MAX);
+    let mut ended = false;
+    let mut patience = ANSWER;
+    loop {
+        if head.chunked {
+            ended |= chunks.take(&mut raw, &mut body).map_err(|_| CallError::Garbage)?;
+        } else {
+            let part = raw.split_to(raw.len().min(left));
+            left -= part.len();
+            body.extend_from_slice(&part);
+            ended |= left == 0;
+        }
+        // A body of a stated length is one list, on however many lines; else each line is one.
+        let whole = head.content_length.is_some();
+        while !whole && let Some(end) = body.iter().position(|byte| *byte == b'\n') {
+            pass_on(&body.split_to(end + 1), hub).await?;
+            patience = SILENCE;
+        }
+        if ended {
+            return pass_on(&body, hub).await;
+        }
+        if body.len() > MAX_LIST {
+            return Err(CallError::Garbage);
+        }
+        raw.reserve(4096);
+        if tokio::time::timeout(patience, stream.read_buf(&mut raw)).await.map_err(silent)?? == 0 {
+            // What is left over is a line that was cut off.
+            return Err(CallError::Garbage);
+        }
+    }
+}
+
+async fn pass_on(line: &[u8], hub: &mpsc::Sender<Input>) -> Result<(), CallError> {
+    if !line.trim_ascii().is_empty() {
+        let listing = serde_json::from_slice(line).map_err(|_| CallError::Garbage)?;
+        let _ = hub.send(Input::List(listing)).await;
+    }
+    Ok(())
+}
--- /dev/null
+++ b/src/bin/spardeal-node/http.rs
@@ -0,0 +1,127 @@
+//! What the node needs of HTTP/1.1 as a client: the head of an answer and chunked bodies.
+
+use bytes::{Buf, BytesMut};
+
+/// An answer that can't be understood.
+#[derive(Debug, PartialEq, Clone, Copy)]
+pub struct Malformed;
+
+/// The longest head, and the longest line that states a chunk's size.
+const MAX_HEAD: usize = 16 * 1024;
+const MAX_HEADERS: usize = 48;
+
+/// The head of an answer.
+#[derive(Debug, Default, PartialEq)]
+pub struct Head {
+    /// Its bytes.
+    pub length: usize,
+    /// Its status code.
+    pub status: u16,
+    /// The stated length of the body.
+    pub content_length: Option<usize>,
+    /// Whether the body comes in chunks.
+    pub chunked: bool,
+    /// Whether the connection ends after this answer.
+    pub close: bool,
+    /// Whether the server says that it did not run the request (`X-Unprocessed: 1`).
+    pub unprocessed: bool,
+    /// The load report (`X-Backend-Load`).
+    pub load: Option<String>,
+    /// How a read went (`X-Lookup`).
+    pub note: Option<String>,
+}
+
+/// Reads a head at the front of a buffer; `None` while it is not all there.
+pub fn head(buffer: &[u8]) -> Result<Option<Head>, Malformed> {
+    let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
+    let mut response = httparse::Response::new(&mut headers);
+    let length = match response.parse(buffer) {
+        Ok(httparse::Status::Complete(length)) => length,
+        Ok(httparse::Status::Partial) if buffer.len() <= MAX_HEAD => return Ok(None),
+        _ => return Err(Malformed),
+    };
+    let status = response.code.unwrap_or(0);
+    let mut head = Head { length, status, close: response.version == Some(0), ..Head::default() };
+    for header in response.headers.iter() {
+        let value = std::str::from_utf8(header.value).unwrap_or("").trim();
+        match header.name.to_ascii_lowercase().as_str() {
+            "content-length" => head.content_length = Some(value.parse().map_err(|_| Malformed)?),
+            "transfer-encoding" => head.chunked |= value.to_ascii_lowercase().ends_with("chunked"),
+            "connection" => head.close |= value.eq_ignore_ascii_case("close"),
+            "x-unprocessed" => head.unprocessed = value == "1",
+            "x-backend-load" => head.load = Some(value.into()),
+            "x-lookup" => head.note = Some(value.into()),
+            _ => {}
+        }
+    }
+    Ok(Some(head))
+}
+
+/// Takes chunks apart as they come.
+#[derive(Default)]
+pub struct Chunks {
+    left: usize,
+    /// The line end after a chunk's content is still to come.
+    line_end: bool,
+    ended: bool,
+}
+
+impl Chunks {
+    /// Moves what is there of the body's content from one buffer to the other; `true` at the body's end.
+    pub fn take(&mut self, from: &mut BytesMut, to: &mut BytesMut) -> Result<bool, Malformed> {
+        while !self.ended {
+            if self.left > 0 {
+                let part = self.left.min(from.len());
+                to.extend_from_slice(&from[..part]);
+                from.advance(part);
+                self.left -= part;
+                self.line_end = self.left == 0;
+                if self.left > 0 {
+                    return Ok(false);
+                }
+            }
+            if self.line_end {
+                if from.len() < 2 {
+                    return Ok(false);
+                }
+                if !from.starts_with(b"\r\n") {
+                    return Err(Malformed);
+                }
+                from.advance(2);
+                self.line_end = false;
+            }
+            match httparse::parse_chunk_size(from) {
+                Ok(httparse::Status::Complete((length, size))) => {
+                    from.advance(length);
+                    self.left = usize::try_from(size).map_err(|_| Malformed)?;
+                    // Trailers are not read: what follows the last chunk ends the use of the connection.
+                    self.ended = size == 0;
+                }
+                Ok(httparse::Status::Partial) if from.len() <= MAX_HEAD => return Ok(false),
+                _ => return Err(Malformed),
+            }
+        }
+        Ok(true)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn chunks_are_joined_however_they_are_cut() {
+        let whole = b"5\r\nhello\r\n1;x=y\r\n!\r\n0\r\n\r\n";
+        for step in 1..whole.len() {
+            let (mut chunks, mut from, mut to) = (Chunks::default(), BytesMut::new(), BytesMut::new());
+            let mut ended = false;
+            for part in whole.chunks(step) {
+                from.extend_from_slice(part);
+                ended = chunks.take(&mut from, &mut to).unwrap();
+            }
+            assert!(ended && &to[..] == b"hello!", "in steps of {step}: {to:?}");
+        }
+        let mut bad = BytesMut::from("zz\r\n");
+        assert_eq!(Chunks::default().take(&mut bad, &mut BytesMut::new()), Err(Malformed));
+    }
+}
--- /dev/null
+++ b/src/bin/spardeal-node/main.rs
@@ -0,0 +1,81 @@
+//! One node: clients on one side, cache servers, the origin and discovery on the other, the decision module
+//! between them.
+
+mod caches;
+mod clients;
+mod config;
+mod discovery;
+mod http;
+mod node;
+mod origin;
+mod resp;
+mod upstreams;
+
+use std::io::Write;
+use std::process::ExitCode;
+use std::sync::Arc;
+
+use tokio::net::TcpListener;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::{Semaphore, mpsc, watch};
+
+use clients::{Front, Phase};
+use config::Config;
+use node::{Clock, Input, Node};
+
+/// What waits between the connections and the node's loop.
+const INPUTS: usize = 1024;
+/// Requests taken and not yet answered; each may hold a value of 64 KiB.
+const MAX_OPEN: usize = 1024;
+/// Sockets kept back for the listener, discovery and the runtime, and for those just being closed.
+const RESERVE: usize = 32;
+
+/// Writes a line to the log; a log that can't be written to is no reason to stop.
+pub fn log(line: &str) {
+    let _ = writeln!(std::io::stderr(), "spardeal-node: {line}");
+}
+
+async fn run(config: Config) -> std::io::Result<()> {
+    let (hub, inputs) = mpsc::channel(INPUTS);
+    let (phase_set, phase) = watch::channel(Phase::Starting);
+    let clock = Clock::start();
+    // The table of sockets is shared out beforehand: clients have one half, servers the other.
+    let part = (config.sockets - RESERVE.min(config.sockets / 2)) / 2;
+    let room = Arc::new(Semaphore::new(part));
+    let mut terms = [signal(SignalKind::terminate())?, signal(SignalKind::interrupt())?];
+    let listener = TcpListener::bind(config.listen).await?;
+    let deployment = Arc::new(config.deployment.clone());
+    let open = Arc::new(Semaphore::new(deployment.max_open.min(MAX_OPEN)));
+    let (front_hub, front_deployment) = (hub.clone(), deployment.clone());
+    let front =
+        Front { deployment: front_deployment, clock, hub: front_hub, phase, room: room.clone(), open };
+    tokio::spawn(clients::listen(listener, Arc::new(front)));
+    let signals = hub.clone();
+    tokio::spawn(async move {
+        let [term, int] = &mut terms;
+        tokio::select! { _ = term.recv() => {}, _ = int.recv() => {} }
+        let _ = signals.send(Input::Terminate).await;
+    });
+    let idle = move || room.available_permits() >= part - 1;
+    Node::new(config, deployment, clock, hub, part).run(inputs, phase_set, idle).await;
+    Ok(())
+}
+
+fn main() -> ExitCode {
+    let config = match Config::from_env() {
+        Ok(config) => config,
+        Err(e) => {
+            log(&e.to_string());
+            return ExitCode::from(2);
+        }
+    };
+    let listen = config.listen;
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    match runtime.and_then(|runtime| runtime.block_on(run(config))) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            log(&format!("cannot listen on {listen}: {e}"));
+            ExitCode::from(2)
+        }
+    }
+}
--- /dev/null
+++ b/src/bin/spardeal-node/node.rs
@@ -0,0 +1,530 @@
+//! The loop that owns the decision module: what arrives becomes its events, its actions become I/O. It
+//! decides nothing; where the sockets force its hand, a comment says so.
+
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, HashMap, VecDeque};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use bytes::{Bytes, BytesMut};
+use spardeal::settings::Deployment;
+use spardeal::{
+    Action, Condition, Event, ListKind, Load, Micros, Note, Outcome, Policy, Request, RequestId, ServerId,
+    ServerLine, Status,
+};
+use tokio::sync::{mpsc, watch};
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::clients::{Asked, ClientId, Command, Phase};
+use crate::config::Config;
+use crate::discovery::{Discovery, Listing};
+use crate::upstreams::{AttemptKey, ConnId, News, Pool, Reply, Speech};
+use crate::{caches, log, origin, resp};
+
+/// What reaches the loop.
+#[derive(Debug)]
+pub enum Input {
+    /// A client asks.
+    Asked(Box<Asked>),
+    /// A client has closed its connection.
+    ClientGone(ClientId),
+    /// News of a connection to a server.
+    Conn(ConnId, News),
+    /// Discovery has sent a list or a change.
+    List(Listing),
+    /// A call to discovery failed, or the watch broke.
+    ListFailed,
+    /// The platform asks the node to end.
+    Terminate,
+}
+
+/// The node's one clock: Unix time in microseconds at the start, and steady from there on.
+#[derive(Clone, Copy)]
+pub struct Clock {
+    start: Instant,
+    unix: Micros,
+}
+
+impl Clock {
+    /// A clock that starts now.
+    pub fn start() -> Self {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        Clock { start: Instant::now(), unix: unix.as_micros() as Micros }
+    }
+
+    /// The time.
+    pub fn now(self) -> Micros {
+        self.unix + self.start.elapsed().as_micros() as Micros
+    }
+
+    /// The instant of a time.
+    fn instant(self, at: Micros) -> tokio::time::Instant {
+        (self.start + Duration::from_micros(at.saturating_sub(self.unix))).into()
+    }
+}
+
+/// After SIGTERM, connections go on being taken for this long: new ones keep coming for up to 0.4 s.
+const ACCEPT_ON: Micros = 500_000;
+/// A node that drains ends this long after the longest deadline at the latest.
+const DRAIN_SLACK: Micros = 600_000;
+const SWEEP: Micros = 1_000_000;
+
+#[derive(PartialEq, Eq, PartialOrd, Ord)]
+enum Due {
+    /// A timer of the module.
+    Policy(u32),
+    /// An attempt is given up.
+    Attempt(RequestId, u16),
+    /// A client's time is up.
+    Deadline(RequestId),
+    /// Idle connections are looked through.
+    Sweep,
+    /// Connections of clients are closed from now on.
+    Drain,
+    /// Whether all is answered is looked at.
+    Ended,
+}
+
+struct Server {
+    address: SocketAddr,
+    speech: Speech,
+    condition: Condition,
+}
+
+struct Open {
+    command: Command,
+    client: ClientId,
+    slot: u64,
+    answers: mpsc::Sender<(u64, Bytes)>,
+    ends: Micros,
+    sent: u16,
+    /// Attempts without an outcome.
+    out: u16,
+    over: bool,
+}
+
+struct Attempt {
+    server: ServerId,
+    sent: Micros,
+    conn: ConnId,
+}
+
+/// The node.
+pub struct Node {
+    deployment: Arc<Deployment>,
+    clock: Clock,
+    policy: Policy,
+    events: VecDeque<Event>,
+    timers: BinaryHeap<Reverse<(Micros, Due)>>,
+    open: HashMap<RequestId, Open>,
+    attempts: HashMap<AttemptKey, Attempt>,
+    next: RequestId,
+    servers: HashMap<ServerId, Server>,
+    pool: Pool,
+    discovery: Discovery,
+    known: Option<Listing>,
+    ends_at: Option<Micros>,
+}
+
+impl Node {
+    /// A node that has not begun yet.
+    pub fn new(
+        config: Config,
+        deployment: Arc<Deployment>,
+        clock: Clock,
+        hub: mpsc::Sender<Input>,
+        conns: usize,
+    ) -> Self {
+        Node {
+            clock,
+            policy: Policy::new(deployment.settings.clone(), config.seed),
+            events: VecDeque::new(),
+            timers: BinaryHeap::new(),
+            open: HashMap::new(),
+            attempts: HashMap::new(),
+            next: 1,
+            servers: HashMap::new(),
+            pool: Pool::new(conns, deployment.clone(), hub.clone()),
+            discovery: Discovery::new(config.discovery, config.known.index, hub),
+            known: Some(config.known),
+            ends_at: None,
+            deployment,
+        }
+    }
+
+    /// Runs until the node has drained; `idle` tells whether no client is connected any more.
+    pub async fn run(
+        mut self,
+        mut inputs: mpsc::Receiver<Input>,
+        phase: watch::Sender<Phase>,
+        idle: impl Fn() -> bool,
+    ) {
+        if let Some(known) = self.known.take() {
+            self.list(known, Some(ListKind::Cached));
+        }
+        if !self.deployment.settings.ask_discovery {
+            self.discovery.follow();
+        }
+        self.timers.push(Reverse((self.clock.now() + SWEEP, Due::Sweep)));
+        let mut ready = false;
+        loop {
+            if !ready && self.servers.values().any(|s| s.condition == Condition::Ready) {
+                ready = true;
+                phase.send_if_modified(|p| {
+                    *p == Phase::Starting && {
+                        *p = Phase::Ready;
+                        true
+                    }
+                });
+            }
+            let now = self.clock.now();
+            while self.timers.peek().is_some_and(|Reverse((at, _))| *at <= now) {
+                let Some(Reverse((_, due))) = self.timers.pop() else { break };
+                match due {
+                    Due::Drain => drop(phase.send(Phase::Draining)),
+                    Due::Ended => {
+                        let late = self.ends_at.is_some_and(|at| now >= at);
+                        if late || (self.open.values().all(|open| open.over) && idle()) {
+                            return;
+                        }
+                        self.timers.push(Reverse((now + 10_000, Due::Ended)));
+                    }
+                    other => self.due(other, now),
+                }
+            }
+            let next = self.timers.peek().map_or(now + SWEEP, |Reverse((at, _))| *at);
+            tokio::select! {
+                biased;
+                input = inputs.recv() => match input {
+                    Some(input) => self.input(input),
+                    None => return,
+                },
+                () = tokio::time::sleep_until(self.clock.instant(next)) => {}
+            }
+        }
+    }
+
+    fn input(&mut self, input: Input) {
+        match input {
+            Input::Asked(asked) => self.asked(*asked),
+            Input::ClientGone(client) => {
+                let mine =
+                    |(id, open): (&RequestId, &Open)| (open.client == client && !open.over).then_some(*id);
+                let gone: Vec<_> = self.open.iter().filter_map(mine).collect();
+                for id in gone {
+                    self.close_request(id);
+                    self.tell(Event::ClientGone(id));
+                }
+            }
+            Input::Conn(conn, news) => self.conn(conn, news),
+            Input::List(listing) => self.list(listing, None),
+            Input::ListFailed => {
+                self.tell(Event::ServerList { kind: ListKind::Failed, servers: Vec::new() });
+            }
+            Input::Terminate if self.ends_at.is_none() => {
+                let now = self.clock.now();
+                let longest = self.deployment.settings.classes.iter().map(|c| c.deadline).max();
+                self.ends_at = Some(now + longest.unwrap_or(0) + DRAIN_SLACK);
+                self.timers.push(Reverse((now + ACCEPT_ON, Due::Drain)));
+                self.timers.push(Reverse((now + ACCEPT_ON + 20_000, Due::Ended)));
+            }
+            Input::Terminate => {}
+        }
+    }
+
+    fn due(&mut self, due: Due, now: Micros) {
+        match due {
+            Due::Policy(token) => self.tell(Event::Timer(token)),
+            Due::Attempt(id, number) => {
+                self.give_up((id, number), Status::TimedOut);
+                self.run_events();
+            }
+            Due::Deadline(id) => {
+                // The module ends a request before this. Should it not, the client still gets its answer.
+                if self.open.get(&id).is_some_and(|open| !open.over) {
+                    self.answer(id, Bytes::from_static(b"-ERR failed\r\n"));
+                    self.tell(Event::ClientGone(id));
+                }
+            }
+            Due::Sweep => {
+                self.pool.sweep(now);
+                self.timers.push(Reverse((now + SWEEP, Due::Sweep)));
+            }
+            Due::Drain | Due::Ended => {}
+        }
+    }
+
+    // The module.
+
+    /// Tells the module of an event, does what it says, and goes on with what follows from that.
+    fn tell(&mut self, event: Event) {
+        self.events.push_back(event);
+        self.run_events();
+    }
+
+    fn run_events(&mut self) {
+        let mut actions = Vec::new();
+        while let Some(event) = self.events.pop_front() {
+            self.policy.handle(self.clock.now(), event, &mut actions);
+            for action in actions.drain(..) {
+                self.act(action);
+            }
+        }
+    }
+
+    fn act(&mut self, action: Action) {
+        match action {
+            Action::Send { request, server, give_up_after } => self.send(request, server, give_up_after),
+            Action::Refuse { request, retry_after } => {
+                let answer = match retry_after {
+                    0 => Bytes::from_static(b"-BUSY\r\n"),
+                    after => format!("-BUSY {}\r\n", after.div_ceil(1_000)).into(),
+                };
+                self.answer(request, answer);
+            }
+            Action::Fail(request) => self.answer(request, Bytes::from_static(b"-ERR failed\r\n")),
+            Action::Cancel { request, attempt } => self.give_up((request, attempt), Status::Cancelled),
+            Action::Timer { after, token } => {
+                self.timers.push(Reverse((self.clock.now() + after.max(1), Due::Policy(token))));
+            }
+            Action::Subscribe(on) => self.discovery.subscribe(on),
+            Action::FetchList => self.discovery.fetch(),
+            Action::CloseIdle(server) => self.pool.close_idle(server),
+            Action::Log(line) => log(&line),
+            Action::Fault(line) => log(&format!("fault: {line}")),
+            // This module neither probes nor speaks to peers; the sockets for it are not built.
+            Action::Probe(server) => {
+                let (took, load) = (0, Load::default());
+                self.events.push_back(Event::Probed { server, ok: false, took, load });
+            }
+            Action::Tell { .. } => {}
+        }
+    }
+
+    // Requests.
+
+    fn asked(&mut self, asked: Asked) {
+        let Asked { command, at, client, slot, answers } = asked;
+        let id = self.next;
+        self.next += 1;
+        // What the request waited within the node is part of its time.
+        let ends = at + command.time_left;
+        let request = Request {
+            id,
+            class: command.class,
+            tenant: command.tenant,
+            key: command.hashed_key(),
+            write: command.write,
+            repeat: command.repeat,
+            time_left: ends.saturating_sub(self.clock.now()),
+            cost: command.cost,
+            size: command.size,
+        };
+        let open = Open { command, client, slot, answers, ends, sent: 0, out: 0, over: false };
+        self.open.insert(id, open);
+        self.timers.push(Reverse((ends, Due::Deadline(id))));
+        self.tell(Event::Request(request));
+    }
+
+    /// Gives the final answer, the first only.
+    fn answer(&mut self, id: RequestId, answer: Bytes) {
+        let Some(open) = self.open.get(&id).filter(|open| !open.over) else { return };
+        // There is room for every answer that a connection is owed; one that has ended takes none.
+        let _ = open.answers.try_send((open.slot, answer));
+        self.close_request(id);
+    }
+
+    /// Nothing is owed for a request any more. Attempts that are out keep its entry until they end.
+    fn close_request(&mut self, id: RequestId) {
+        let Some(open) = self.open.get_mut(&id) else { return };
+        open.over = true;
+        open.command.value = None;
+        if open.out == 0 {
+            self.open.remove(&id);
+        }
+    }
+
+    // Attempts.
+
+    fn send(&mut self, id: RequestId, server: ServerId, give_up_after: Micros) {
+        let now = self.clock.now();
+        let Some(open) = self.open.get_mut(&id) else { return };
+        let key = (id, open.sent);
+        (open.sent, open.out) = (open.sent + 1, open.out + 1);
+        let allowed =
+            !open.over && u32::from(key.1) < self.deployment.settings.max_attempts && now < open.ends;
+        let limit = if give_up_after == 0 { open.ends } else { open.ends.min(now + give_up_after) };
+        let target = self.servers.get(&server).filter(|_| allowed);
+        let Some((address, speech)) = target.map(|s| (s.address, s.speech)) else {
+            self.attempts.insert(key, Attempt { server, sent: now, conn: 0 });
+            return self.end(key, Status::NotSent);
+        };
+        let conn = match self.pool.reuse(server, key, now) {
+            Some(conn) => Some((conn, true)),
+            None => self.pool.open(server, address, speech, key).map(|conn| (conn, false)),
+        };
+        let Some((conn, up)) = conn else {
+            // Forced by the limit on sockets: there is no connection to send this on.
+            self.attempts.insert(key, Attempt { server, sent: now, conn: 0 });
+            return self.end(key, Status::NotSent);
+        };
+        self.attempts.insert(key, Attempt { server, sent: now, conn });
+        self.timers.push(Reverse((limit, Due::Attempt(id, key.1))));
+        if up {
+            self.write(key, conn);
+        }
+    }
+
+    /// Hands an attempt to its connection, which is up.
+    fn write(&mut self, key: AttemptKey, conn: ConnId) {
+        let now = self.clock.now();
+        let Some(attempt) = self.attempts.get(&key) else { return };
+        // Against a send after a drain or an end: between the module's word and the first byte the attempt
+        // waited for its connection, and meanwhile its server may have left or its client gone.
+        let server = self.servers.get(&attempt.server).filter(|s| s.condition == Condition::Ready);
+        let open = self.open.get(&key.0).filter(|open| !open.over && now < open.ends);
+        let (Some(server), Some(open)) = (server, open) else {
+            let address = self.servers.get(&attempt.server).map(|s| s.address);
+            self.pool.release(conn, address, now);
+            return self.end(key, Status::NotSent);
+        };
+        let bytes = match server.speech {
+            Speech::Resp => caches::encode(&open.command, (open.ends - now).div_ceil(1_000)),
+            Speech::Http => origin::encode(&open.command, &server.address.to_string()),
+        };
+        if !self.pool.start(conn, bytes) {
+            self.lost(key, conn, false);
+        }
+    }
+
+    fn conn(&mut self, conn: ConnId, news: News) {
+        // What comes from a connection that was given up is late, and of no more interest.
+        let key = self.pool.attempt(conn);
+        match (news, key) {
+            (News::Up, Some(key)) => self.write(key, conn),
+            (News::Answer(reply), Some(key)) => {
+                let server = self.attempts.get(&key).and_then(|attempt| self.servers.get(&attempt.server));
+                let address = server.map(|s| s.address);
+                match reply.keep {
+                    true => self.pool.release(conn, address, self.clock.now()),
+                    false => self.pool.close(conn),
+                }
+                self.end_with(key, reply);
+            }
+            (News::Lost { written }, Some(key)) => self.lost(key, conn, written),
+            (News::Lost { .. }, None) => self.pool.close(conn),
+            (_, None) => {}
+        }
+        self.run_events();
+    }
+
+    /// A connection is lost that an attempt was on or waited for.
+    fn lost(&mut self, key: AttemptKey, conn: ConnId, written: bool) {
+        let stale = !written && self.pool.carried(conn) > 1;
+        self.pool.close(conn);
+        if written {
+            return self.end(key, Status::Reset);
+        }
+        // A kept connection that had ended unseen: the last byte was not written, so nothing was sent, and
+        // the same attempt may have a fresh connection. Only once: a fresh one has carried nothing.
+        if let Some(attempt) = self.attempts.get_mut(&key).filter(|_| stale)
+            && let Some(server) = self.servers.get(&attempt.server)
+            && let Some(conn) = self.pool.open(attempt.server, server.address, server.speech, key)
+        {
+            attempt.conn = conn;
+            return;
+        }
+        self.end(key, Status::ConnectFailed);
+    }
+
+    /// Stops waiting for an attempt, by closing its connection.
+    fn give_up(&mut self, key: AttemptKey, status: Status) {
+        let Some(attempt) = self.attempts.get(&key) else { return };
+        self.pool.close(attempt.conn);
+        self.end(key, status);
+    }
+
+    fn end(&mut self, key: AttemptKey, status: Status) {
+        self.end_with(
+            key,
+            Reply { status, note: Note::None, load: Load::default(), value: None, keep: false },
+        );
+    }
+
+    /// An attempt has its outcome: the first that serves answers the client, and the module is told.
+    fn end_with(&mut self, key: AttemptKey, reply: Reply) {
+        let Some(attempt) = self.attempts.remove(&key) else { return };
+        let Some(open) = self.open.get_mut(&key.0) else { return };
+        open.out -= 1;
+        let over = open.over || reply.status == Status::Served;
+        if let Some(value) = &reply.value {
+            let mut answer = BytesMut::with_capacity(value.len() + 16);
+            resp::put_bulk(&mut answer, value);
+            self.answer(key.0, answer.freeze());
+        }
+        if over {
+            self.close_request(key.0);
+        }
+        self.events.push_back(Event::Outcome(Outcome {
+            request: key.0,
+            attempt: key.1,
+            server: attempt.server,
+            status: reply.status,
+            over,
+            note: reply.note,
+            took: self.clock.now() - attempt.sent,
+            load: reply.load,
+        }));
+    }
+
+    // The list.
+
+    fn list(&mut self, listing: Listing, kind: Option<ListKind>) {
+        let kind = kind.unwrap_or(if listing.snapshot { ListKind::Full } else { ListKind::Delta });
+        if kind == ListKind::Delta && listing.index < self.discovery.index() {
+            return; // Older than the list held.
+        }
+        self.discovery.held(listing.index);
+        let now = self.clock.now();
+        let mut lines: Vec<ServerLine> = Vec::with_capacity(listing.endpoints.len());
+        let place = |names: &[String], name: &String| names.iter().position(|known| known == name);
+        for entry in &listing.endpoints {
+            let condition = match entry.status.as_str() {
+                "active" => Condition::Ready,
+                "left" => Condition::Gone,
+                _ => Condition::Draining,
+            };
+            let id = xxh3_64(entry.name.as_bytes()) as ServerId;
+            let address = entry.address.parse().ok().or_else(|| self.servers.get(&id).map(|s| s.address));
+            let Some(address) = address else { continue };
+            let kind = place(&self.deployment.kinds, &entry.kind).unwrap_or(usize::from(u16::MAX)) as u16;
+            let speech = match self.deployment.settings.origin_kind == Some(kind) {
+                true => Speech::Http,
+                false => Speech::Resp,
+            };
+            // In the module's clock, which is Unix time here; 0 stays 0, and nothing starts in the future.
+            let started = if entry.since_ms == 0 { 0 } else { entry.since_ms.saturating_mul(1_000).min(now) };
+            let zone = place(&self.deployment.zones, &entry.zone).unwrap_or(255) as u8;
+            let cell = entry.group;
+            lines.push(ServerLine { id, zone, cell, kind, weight: entry.weight, started, condition });
+            let before = self.servers.insert(id, Server { address, speech, condition });
+            if condition != Condition::Ready || before.is_some_and(|before| before.address != address) {
+                self.pool.close_idle(id);
+            }
+        }
+        if kind != ListKind::Delta {
+            let listed: Vec<_> = lines.iter().map(|line| line.id).collect();
+            let gone: Vec<_> = self.servers.keys().filter(|id| !listed.contains(id)).copied().collect();
+            gone.iter().for_each(|id| self.forget(*id));
+        }
+        let left = lines.iter().filter(|line| line.condition == Condition::Gone).map(|line| line.id);
+        left.collect::<Vec<_>>().into_iter().for_each(|id| self.forget(id));
+        self.tell(Event::ServerList { kind, servers: lines });
+    }
+
+    fn forget(&mut self, id: ServerId) {
+        self.servers.remove(&id);
+        self.pool.close_idle(id);
+    }
+}
--- /dev/null
+++ b/src/bin/spardeal-node/origin.rs
@@ -0,0 +1,66 @@
+//! What is said to the origin, in HTTP/1.1, and what its answers mean.
+
+use bytes::{BufMut, Bytes, BytesMut};
+use spardeal::Status;
+
+use crate::caches;
+use crate::clients::Command;
+use crate::http::{self, Chunks};
+use crate::resp::MAX_VALUE;
+use crate::upstreams::{Broken, Reply};
+
+/// The request for a client's command.
+pub fn encode(command: &Command, host: &str) -> Bytes {
+    let mut out = BytesMut::with_capacity(512);
+    out.put_slice(if command.write { b"PUT /" } else { b"GET /" });
+    out.put_slice(&command.key);
+    out.put_slice(format!(" HTTP/1.1\r\nHost: {host}\r\nX-Correlation-Id: ").as_bytes());
+    out.put_slice(&command.id);
+    out.put_slice(format!("\r\nX-Facts: {}\r\n", command.facts).as_bytes());
+    let body: &[u8] = command.value.as_deref().unwrap_or(b"");
+    if command.write {
+        out.put_slice(format!("Content-Length: {}\r\n", body.len()).as_bytes());
+    }
+    out.put_slice(b"\r\n");
+    out.put_slice(body);
+    out.freeze()
+}
+
+/// Takes an answer off the front of what a connection brought; `None` while it is not all there.
+pub fn decode(buffer: &mut BytesMut, load_names: &[String]) -> Result<Option<Reply>, Broken> {
+    let Some(head) = http::head(buffer).map_err(|_| Broken)? else { return Ok(None) };
+    if (100..200).contains(&head.status) {
+        let _ = buffer.split_to(head.length);
+        return decode(buffer, load_names);
+    }
+    let mut keep = !head.close;
+    let value = if head.chunked {
+        let (mut rest, mut body) = (BytesMut::from(&buffer[head.length..]), BytesMut::new());
+        if !Chunks::default().take(&mut rest, &mut body).map_err(|_| Broken)? {
+            return if rest.len() + body.len() > 2 * MAX_VALUE { Err(Broken) } else { Ok(None) };
+        }
+        keep = false;
+        body.freeze()
+    } else {
+        let length = match head.content_length {
+            Some(length) if length <= MAX_VALUE => length,
+            None if matches!(head.status, 204 | 304) => 0,
+            // A body that ends with its connection can't be told from one that was cut off.
+            _ => return Err(Broken),
+        };
+        if buffer.len() < head.length + length {
+            return Ok(None);
+        }
+        let _ = buffer.split_to(head.length);
+        buffer.split_to(length).freeze()
+    };
+    let status = match head.status {
+        200 => Status::Served,
+        503 | 504 if head.unprocessed => Status::Full,
+        _ => Status::Error,
+    };
+    let value = (status == Status::Served).then_some(value);
+    let load = caches::load(head.load.as_deref().unwrap_or(""), load_names);
+    let note = caches::note(head.note.as_deref().unwrap_or(""));
+    Ok(Some(Reply { status, note, load, value, keep }))
+}
--- /dev/null
+++ b/src/bin/spardeal-node/resp.rs
@@ -0,0 +1,219 @@
+//! RESP2, both directions. Written here since the decoders at hand recurse without a bound on depth and
+//! take any stated length: what a peer sends must neither overflow the stack nor reserve memory.
+
+use bytes::{BufMut, Bytes, BytesMut};
+
+/// The longest value.
+pub const MAX_VALUE: usize = 64 * 1024;
+/// Words in a command, and elements in an answer, at most.
+const MAX_WORDS: usize = 16;
+/// The longest line that states a length.
+const MAX_LENGTH_LINE: usize = 24;
+/// The longest plain or error line of an answer.
+const MAX_LINE: usize = 4096;
+/// How deep arrays of an answer may be nested.
+const MAX_DEPTH: u8 = 3;
+
+/// Input that can't be understood: from here on its framing is lost.
+#[derive(Debug, PartialEq, Clone, Copy)]
+pub struct Malformed(pub &'static str);
+
+/// An answer of a cache server.
+#[derive(Debug, PartialEq, Clone)]
+pub enum Value {
+    /// A bulk string, or null.
+    Bulk(Option<Bytes>),
+    /// An array; null counts as empty.
+    Array(Vec<Value>),
+    /// A plain line.
+    Line(Bytes),
+    /// An error line.
+    Error(Bytes),
+    /// A number.
+    Number(i64),
+}
+
+/// Takes one whole command, an array of bulk strings, off the front; `None` while it is not all there.
+pub fn take_command(buffer: &mut BytesMut) -> Result<Option<Vec<Bytes>>, Malformed> {
+    let mut scan = Scan { bytes: buffer, at: 0 };
+    let Some(words) = scan.command()? else { return Ok(None) };
+    let end = scan.at;
+    let whole = buffer.split_to(end).freeze();
+    Ok(Some(words.into_iter().map(|(from, to)| whole.slice(from..to)).collect()))
+}
+
+/// Takes one whole answer off the front; `None` while it is not all there.
+pub fn take_value(buffer: &mut BytesMut) -> Result<Option<Value>, Malformed> {
+    let mut scan = Scan { bytes: buffer, at: 0 };
+    let Some(value) = scan.value(0)? else { return Ok(None) };
+    let end = scan.at;
+    let _ = buffer.split_to(end);
+    Ok(Some(value))
+}
+
+struct Scan<'a> {
+    bytes: &'a [u8],
+    at: usize,
+}
+
+impl<'a> Scan<'a> {
+    fn line(&mut self, longest: usize) -> Result<Option<&'a [u8]>, Malformed> {
+        let rest = &self.bytes[self.at..];
+        match rest.windows(2).take(longest + 1).position(|pair| pair == b"\r\n") {
+            Some(end) => {
+                self.at += end + 2;
+                Ok(Some(&rest[..end]))
+            }
+            None if rest.len() > longest + 1 => Err(Malformed("line too long")),
+            None => Ok(None),
+        }
+    }
+
+    /// A line of a mark and a length; `None` inside stands for a null.
+    fn length(&mut self, mark: u8, most: usize) -> Result<Option<Option<usize>>, Malformed> {
+        match self.bytes.get(self.at) {
+            None => return Ok(None),
+            Some(found) if *found != mark => return Err(Malformed("unexpected type")),
+            Some(_) => {}
+        }
+        let Some(line) = self.line(MAX_LENGTH_LINE)? else { return Ok(None) };
+        if &line[1..] == b"-1" {
+            return Ok(Some(None));
+        }
+        let digits = line.len() > 1 && line[1..].iter().all(u8::is_ascii_digit);
+        let number =
+            std::str::from_utf8(&line[1..]).ok().filter(|_| digits).and_then(|text| text.parse().ok());
+        let number: usize = number.ok_or(Malformed("invalid length"))?;
+        if number > most { Err(Malformed("value or command too long")) } else { Ok(Some(Some(number))) }
+    }
+
+    /// Bounds of the content of a bulk string.
+    fn bulk(&mut self) -> Result<Option<Option<(usize, usize)>>, Malformed> {
+        let length = match self.length(b'$', MAX_VALUE)? {
+            None => return Ok(None),
+            Some(None) => return Ok(Some(None)),
+            Some(Some(length)) => length,
+        };
+        let (from, to) = (self.at, self.at + length);
+        let Some(end) = self.bytes.get(to..to + 2) else { return Ok(None) };
+        if end != b"\r\n" {
+            return Err(Malformed("bulk string not ended"));
+        }
+        self.at = to + 2;
+        Ok(Some(Some((from, to))))
+    }
+
+    fn command(&mut self) -> Result<Option<Vec<(usize, usize)>>, Malformed> {
+        let count = match self.length(b'*', MAX_WORDS)? {
+            None => return Ok(None),
+            Some(count) => count.unwrap_or(0),
+        };
+        let mut words = Vec::with_capacity(count);
+        for _ in 0..count {
+            match self.bulk()? {
+                None => return Ok(None),
+                Some(word) => words.push(word.ok_or(Malformed("null in a command"))?),
+            }
+        }
+        Ok(Some(words))
+    }
+
+    fn value(&mut self, depth: u8) -> Result<Option<Value>, Malformed> {
+        let Some(mark) = self.bytes.get(self.at) else { return Ok(None) };
+        match mark {
+            b'$' => Ok(self.bulk()?.map(|bounds| {
+                Value::Bulk(bounds.map(|(from, to)| Bytes::copy_from_slice(&self.bytes[from..to])))
+            })),
+            b'*' if depth < MAX_DEPTH => {
+                let Some(count) = self.length(b'*', MAX_WORDS)? else { return Ok(None) };
+                let mut items = Vec::new();
+                for _ in 0..count.unwrap_or(0) {
+                    match self.value(depth + 1)? {
+                        None => return Ok(None),
+                        Some(item) => items.push(item),
+                    }
+                }
+                Ok(Some(Value::Array(items)))
+            }
+            b'+' | b'-' | b':' => {
+                let Some(line) = self.line(MAX_LINE)? else { return Ok(None) };
+                let text = &line[1..];
+                Ok(Some(match mark {
+                    b'+' => Value::Line(Bytes::copy_from_slice(text)),
+                    b'-' => Value::Error(Bytes::copy_from_slice(text)),
+                    _ => {
+                        let number = std::str::from_utf8(text).ok().and_then(|t| t.parse().ok());
+                        Value::Number(number.ok_or(Malformed("invalid number"))?)
+                    }
+                }))
+            }
+            _ => Err(Malformed("unexpected type")),
+        }
+    }
+}
+
+/// Adds a bulk string.
+pub fn put_bulk(out: &mut BytesMut, value: &[u8]) {
+    out.put_slice(format!("${}\r\n", value.len()).as_bytes());
+    out.put_slice(value);
+    out.put_slice(b"\r\n");
+}
+
+/// A command of some words.
+pub fn command(words: &[&[u8]]) -> Bytes {
+    let size = words.iter().map(|word| word.len() + 16).sum::<usize>() + 16;
+    let mut out = BytesMut::with_capacity(size);
+    out.put_slice(format!("*{}\r\n", words.len()).as_bytes());
+    words.iter().for_each(|word| put_bulk(&mut out, word));
+    out.freeze()
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_command_is_taken_only_when_its_last_byte_is_there() {
+        let whole = command(&[b"OBJ.GET", b"k", b"i", b"c=read"]);
+        for cut in 0..whole.len() {
+            let mut part = BytesMut::from(&whole[..cut]);
+            assert_eq!(take_command(&mut part), Ok(None), "{cut} bytes");
+            assert_eq!(part.len(), cut);
+        }
+        let mut twice = BytesMut::from(&[&whole[..], &whole[..]].concat()[..]);
+        for _ in 0..2 {
+            let words = take_command(&mut twice).unwrap().unwrap();
+            assert_eq!(words, [&b"OBJ.GET"[..], b"k", b"i", b"c=read"]);
+        }
+        assert!(twice.is_empty());
+    }
+
+    #[test]
+    fn what_is_malformed_or_too_long_is_told_at_once() {
+        for bad in [
+            "GET k\r\n",
+            "*17\r\n",
+            "*1\r\n$65537\r\n",
+            "*1\r\n$-1\r\n",
+            "*1\r\n$+3\r\nabc\r\n",
+            "*1\r\n$3\r\nabcde",
+            "*99999999999999999999999\r\n",
+            "*11111111111111111111111111111",
+            "*\r\n",
+        ] {
+            assert!(take_command(&mut BytesMut::from(bad)).is_err(), "{bad:?}");
+        }
+    }
+
+    #[test]
+    fn answers_are_read_and_deep_nesting_is_not() {
+        let mut answer = BytesMut::from("*3\r\n$2\r\nab\r\n$-1\r\n$3\r\nhit\r\n-BUSY\r\n:7\r\n");
+        let bulk = |text: &'static str| Value::Bulk(Some(Bytes::from_static(text.as_bytes())));
+        let array = Value::Array(vec![bulk("ab"), Value::Bulk(None), bulk("hit")]);
+        assert_eq!(take_value(&mut answer), Ok(Some(array)));
+        assert_eq!(take_value(&mut answer), Ok(Some(Value::Error("BUSY".into()))));
+        assert_eq!(take_value(&mut answer), Ok(Some(Value::Number(7))));
+        assert_eq!(take_value(&mut answer), Ok(None));
+        assert!(take_value(&mut BytesMut::from(&b"*1\r\n".repeat(9000)[..])).is_err());
+    }
+}
--- /dev/null
+++ b/src/bin/spardeal-node/upstreams.rs
@@ -0,0 +1,268 @@
+//! Connections to cache servers and the origin: one request at a time on each, since a connection answers
+//! in order and a slow answer would stall those behind it.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use spardeal::settings::Deployment;
+use spardeal::{Load, Micros, Note, RequestId, ServerId, Status};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+use tokio::task::AbortHandle;
+
+use crate::node::Input;
+use crate::{caches, origin};
+
+/// Names a connection; never used twice.
+pub type ConnId = u64;
+/// Names an attempt: its request and its number.
+pub type AttemptKey = (RequestId, u16);
+
+/// What a server sent can't be understood; the connection is of no more use.
+#[derive(Debug, PartialEq, Clone, Copy)]
+pub struct Broken;
+
+/// An answer of a server.
+#[derive(Debug, PartialEq)]
+pub struct Reply {
+    pub status: Status,
+    pub note: Note,
+    pub load: Load,
+    pub value: Option<Bytes>,
+    /// Whether the connection can carry another request.
+    pub keep: bool,
+}
+
+/// What a connection tells the node.
+#[derive(Debug)]
+pub enum News {
+    /// It is up, and nothing has been written to it.
+    Up,
+    /// The answer to the request that it carried.
+    Answer(Reply),
+    /// It could not be opened or is lost; whether the last byte of its request may have been written.
+    Lost { written: bool },
+}
+
+/// What is spoken with a server.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Speech {
+    Resp,
+    Http,
+}
+
+struct Conn {
+    server: ServerId,
+    address: SocketAddr,
+    jobs: mpsc::Sender<Bytes>,
+    task: AbortHandle,
+    /// The attempt that it was opened for or carries.
+    attempt: Option<AttemptKey>,
+    idle_since: Micros,
+    carried: u64,
+}
+
+impl Drop for Conn {
+    fn drop(&mut self) {
+        // A node gives an attempt up by closing its connection.
+        self.task.abort();
+    }
+}
+
+/// All connections to servers.
+pub struct Pool {
+    conns: HashMap<ConnId, Conn>,
+    /// Idle connections of each server, the one used last at the end.
+    idle: HashMap<ServerId, Vec<ConnId>>,
+    next: ConnId,
+    limit: usize,
+    idle_limit: Micros,
+    deployment: Arc<Deployment>,
+    hub: mpsc::Sender<Input>,
+}
+
+impl Pool {
+    /// A pool of at most `limit` connections.
+    pub fn new(limit: usize, deployment: Arc<Deployment>, hub: mpsc::Sender<Input>) -> Self {
+        // Well before the server closes it: a request written to a closed connection ends as a reset, which
+        // may have run and so may not be sent again.
+        let idle_limit = deployment.idle_close / 2;
+        let (conns, idle) = (HashMap::new(), HashMap::new());
+        Pool { conns, idle, next: 1, limit, idle_limit, deployment, hub }
+    }
+
+    /// An idle connection to a server for an attempt, if there is one.
+    pub fn reuse(&mut self, server: ServerId, attempt: AttemptKey, now: Micros) -> Option<ConnId> {
+        loop {
+            let id = self.idle.get_mut(&server)?.pop()?;
+            match self.conns.get_mut(&id) {
+                Some(conn) if now < conn.idle_since + self.idle_limit && !conn.jobs.is_closed() => {
+                    conn.attempt = Some(attempt);
+                    return Some(id);
+                }
+                _ => drop(self.conns.remove(&id)),
+            }
+        }
+    }
+
+    /// Begins to open a connection for an attempt; `false` where the table is full.
+    pub fn open(
+        &mut self,
+        server: ServerId,
+        address: SocketAddr,
+        speech: Speech,
+        attempt: AttemptKey,
+    ) -> Option<ConnId> {
+        if self.conns.len() >= self.limit {
+            self.drop_one_idle();
+        }
+        if self.conns.len() >= self.limit {
+            return None;
+        }
+        let id = self.next;
+        self.next += 1;
+        let (jobs, take) = mpsc::channel(1);
+        let (hub, deployment) = (self.hub.clone(), self.deployment.clone());
+        let task = tokio::spawn(async move {
+            let mut link = Link { id, speech, deployment, jobs: take, hub };
+            let news = link.run(address).await;
+            let _ = link.hub.send(Input::Conn(id, news)).await;
+        });
+        let task = task.abort_handle();
+        let conn = Conn { server, address, jobs, task, attempt: Some(attempt), idle_since: 0, carried: 0 };
+        self.conns.insert(id, conn);
+        Some(id)
+    }
+
+    /// The attempt that a connection was opened for or carries; `None` also where it was given up.
+    pub fn attempt(&self, id: ConnId) -> Option<AttemptKey> {
+        self.conns.get(&id)?.attempt
+    }
+
+    /// How many requests a connection has been given.
+    pub fn carried(&self, id: ConnId) -> u64 {
+        self.conns.get(&id).map_or(0, |conn| conn.carried)
+    }
+
+    /// Hands a request to a connection that is up; `false` if it is lost already.
+    pub fn start(&mut self, id: ConnId, request: Bytes) -> bool {
+        let Some(conn) = self.conns.get_mut(&id) else { return false };
+        conn.carried += 1;
+        conn.jobs.try_send(request).is_ok()
+    }
+
+    /// A connection owes nothing any more and may be used again.
+    pub fn release(&mut self, id: ConnId, address: Option<SocketAddr>, now: Micros) {
+        let Some(conn) = self.conns.get_mut(&id) else { return };
+        if address != Some(conn.address) {
+            // The server is gone from the list or lives elsewhere now.
+            return self.close(id);
+        }
+        (conn.attempt, conn.idle_since) = (None, now);
+        self.idle.entry(conn.server).or_default().push(id);
+    }
+
+    /// Closes a connection.
+    pub fn close(&mut self, id: ConnId) {
+        if let Some(conn) = self.conns.remove(&id)
+            && let Some(idle) = self.idle.get_mut(&conn.server)
+        {
+            idle.retain(|other| *other != id);
+        }
+    }
+
+    /// Closes the idle connections to a server.
+    pub fn close_idle(&mut self, server: ServerId) {
+        for id in self.idle.remove(&server).unwrap_or_default() {
+            self.conns.remove(&id);
+        }
+    }
+
+    /// Closes what has been idle for long.
+    pub fn sweep(&mut self, now: Micros) {
+        let (conns, limit) = (&mut self.conns, self.idle_limit);
+        self.idle.retain(|_, ids| {
+            ids.retain(|id| {
+                let keep = conns.get(id).is_some_and(|conn| now < conn.idle_since + limit);
+                if !keep {
+                    conns.remove(id);
+                }
+                keep
+            });
+            !ids.is_empty()
+        });
+    }
+
+    fn drop_one_idle(&mut self) {
+        let oldest = self.idle.values().filter_map(|ids| ids.first());
+        let oldest = oldest.min_by_key(|id| self.conns.get(id).map_or(0, |conn| conn.idle_since)).copied();
+        oldest.into_iter().for_each(|id| self.close(id));
+    }
+}
+
+/// One connection, in its task.
+struct Link {
+    id: ConnId,
+    speech: Speech,
+    deployment: Arc<Deployment>,
+    jobs: mpsc::Receiver<Bytes>,
+    hub: mpsc::Sender<Input>,
+}
+
+impl Link {
+    /// Opens the connection and carries one request after the other, until it is lost.
+    async fn run(&mut self, address: SocketAddr) -> News {
+        // A machine that vanished answers nothing: the connect has a time-out of its own.
+        let limit = Duration::from_micros(self.deployment.connect_timeout.max(1_000));
+        let Ok(Ok(mut stream)) = tokio::time::timeout(limit, TcpStream::connect(address)).await else {
+            return News::Lost { written: false };
+        };
+        let _ = stream.set_nodelay(true);
+        let mut buffer = BytesMut::new();
+        let mut news = News::Up;
+        loop {
+            if self.hub.send(Input::Conn(self.id, news)).await.is_err() {
+                return News::Lost { written: false };
+            }
+            buffer.reserve(2048);
+            let job = tokio::select! {
+                // First: a connection that the server has ended is not written to, so that its request
+                // surely never ran.
+                biased;
+                _ = stream.read_buf(&mut buffer) => return News::Lost { written: false },
+                job = self.jobs.recv() => job,
+            };
+            let Some(job) = job else { return News::Lost { written: false } };
+            if stream.write_all(&job).await.is_err() {
+                return News::Lost { written: false };
+            }
+            drop(job);
+            let reply = loop {
+                let decoded = match self.speech {
+                    Speech::Resp => caches::decode(&mut buffer, &self.deployment.load_names),
+                    Speech::Http => origin::decode(&mut buffer, &self.deployment.load_names),
+                };
+                match decoded {
+                    Ok(Some(reply)) => break reply,
+                    Ok(None) => {}
+                    Err(Broken) => return News::Lost { written: true },
+                }
+                buffer.reserve(2048);
+                if !matches!(stream.read_buf(&mut buffer).await, Ok(count) if count > 0) {
+                    return News::Lost { written: true };
+                }
+            };
+            // Bytes beyond the answer belong to no request: nothing after them could be matched.
+            let keep = reply.keep && buffer.is_empty();
+            buffer = BytesMut::new();
+            news = News::Answer(Reply { keep, ..reply });
+            if !keep {
+                return news;
+            }
+        }
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -25,6 +25,7 @@
 
 mod brain;
 pub mod interface;
+pub mod settings;
 mod state;
 
 pub use interface::*;
--- a/src/bin/spardeal-drill/settings.rs
+++ b/src/settings.rs
@@ -1,7 +1,31 @@
-//! The settings text of the wire, read into the module's own [`Settings`].
+//! The settings text of a deployment, as the simulator's first message and a node's configuration hold it.
 
 use serde::Deserialize;
-use spardeal::{Class, Effect, Group, LoadField, Micros, Settings, Tenant};
+
+use crate::interface::{Class, Effect, Group, LoadField, Micros, Settings, Tenant};
+
+/// A deployment: what the module is told of it, and what only the node round the module needs.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Deployment {
+    /// What the module is told.
+    pub settings: Settings,
+    /// Names of the classes, in the order of [`Settings::classes`].
+    pub classes: Vec<String>,
+    /// Names of the tenants, in the order of [`Settings::tenants`].
+    pub tenants: Vec<String>,
+    /// Names of the zones.
+    pub zones: Vec<String>,
+    /// Names of the machine kinds.
+    pub kinds: Vec<String>,
+    /// Names of the figures in a load report, in the order of [`Settings::load_fields`].
+    pub load_names: Vec<String>,
+    /// A connection that is not up by then has failed.
+    pub connect_timeout: Micros,
+    /// Servers close a connection that was idle for this long.
+    pub idle_close: Micros,
+    /// Requests that a node may hold open at once.
+    pub max_open: usize,
+}
 
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase", default)]
@@ -11,6 +35,8 @@
     zone: u8,
     classes: Vec<WireClass>,
     realms: Vec<WireRealm>,
+    zones: Vec<String>,
+    machine_types: Vec<String>,
     discovery: String,
     specifics: Specifics,
     limits: Limits,
@@ -24,6 +50,7 @@
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase", default)]
 struct WireClass {
+    name: String,
     goal_time_us: f64,
     deadline_us: f64,
     gain: f64,
@@ -36,6 +63,7 @@
 #[derive(Deserialize, Default)]
 #[serde(rename_all = "camelCase", default)]
 struct WireRealm {
+    name: String,
     quota_per_s: f64,
 }
 
@@ -56,6 +84,9 @@
     peers: bool,
     retry_after: bool,
     max_retry_after_us: f64,
+    connect_timeout_us: f64,
+    idle_close_us: f64,
+    max_open: usize,
 }
 
 #[derive(Deserialize)]
@@ -91,6 +122,8 @@
             zone: base.zone,
             classes: Vec::new(),
             realms: Vec::new(),
+            zones: Vec::new(),
+            machine_types: Vec::new(),
             discovery: "push".into(),
             specifics: Specifics::default(),
             limits: Limits::default(),
@@ -107,6 +140,7 @@
     fn default() -> Self {
         let base = Class::default();
         WireClass {
+            name: String::new(),
             goal_time_us: base.aim as f64,
             deadline_us: base.deadline as f64,
             gain: base.worth,
@@ -134,6 +168,9 @@
             peers: false,
             retry_after: false,
             max_retry_after_us: 0.0,
+            connect_timeout_us: 250_000.0,
+            idle_close_us: 15_000_000.0,
+            max_open: 20_000,
         }
     }
 }
@@ -153,7 +190,7 @@
 }
 
 /// Reads a settings text; the error is one plain line.
-pub fn read(text: &[u8]) -> Result<Settings, String> {
+pub fn read(text: &[u8]) -> Result<Deployment, String> {
     let wire: Wire = serde_json::from_slice(text).map_err(|e| format!("unreadable settings: {e}"))?;
     let mut classes = Vec::with_capacity(wire.classes.len());
     for c in &wire.classes {
@@ -161,7 +198,7 @@
     }
     let origin = (wire.specifics.mode == "aside").then(|| u16::try_from(wire.specifics.origin_kind).ok());
     let limits = wire.limits;
-    Ok(Settings {
+    let settings = Settings {
         balancers: wire.balancers,
         me: wire.me,
         zone: wire.zone,
@@ -187,6 +224,17 @@
         fall_multiple: wire.guarantees.fall_multiple,
         fall_after: micros(wire.guarantees.tip_after_us),
         drain_grace: micros(wire.guarantees.drain_grace_us),
+    };
+    Ok(Deployment {
+        settings,
+        classes: wire.classes.into_iter().map(|c| c.name).collect(),
+        tenants: wire.realms.into_iter().map(|r| r.name).collect(),
+        zones: wire.zones,
+        kinds: wire.machine_types,
+        load_names: wire.report.fields,
+        connect_timeout: micros(limits.connect_timeout_us),
+        idle_close: micros(limits.idle_close_us),
+        max_open: limits.max_open,
     })
 }
 
