Drop kept connections to a server that has gone silent

Cause: node.rs give_up() closed only the connection of the attempt that was given up. Ruled out: TCP keep-alive and connect time-outs, which do not see it. Mend: where a server has said nothing since the attempt was sent, its idle connections go too.

--- a/src/bin/spardeal-node/node.rs
+++ b/src/bin/spardeal-node/node.rs
@@ -90,6 +90,8 @@
     address: SocketAddr,
     speech: Speech,
     condition: Condition,
+    /// When it last answered anything.
+    heard: Micros,
 }
 
 struct Open {
@@ -404,10 +406,15 @@
         match (news, key) {
             (News::Up, Some(key)) => self.write(key, conn),
             (News::Answer(reply), Some(key)) => {
-                let server = self.attempts.get(&key).and_then(|attempt| self.servers.get(&attempt.server));
-                let address = server.map(|s| s.address);
+                let now = self.clock.now();
+                let attempt = self.attempts.get(&key);
+                let server = attempt.and_then(|attempt| self.servers.get_mut(&attempt.server));
+                let address = server.map(|s| {
+                    s.heard = now;
+                    s.address
+                });
                 match reply.keep {
-                    true => self.pool.release(conn, address, self.clock.now()),
+                    true => self.pool.release(conn, address, now),
                     false => self.pool.close(conn),
                 }
                 self.end_with(key, reply);
@@ -442,6 +449,11 @@
     fn give_up(&mut self, key: AttemptKey, status: Status) {
         let Some(attempt) = self.attempts.get(&key) else { return };
         self.pool.close(attempt.conn);
+        // Against a machine that vanished: its kept connections stay open and silent, and each would cost
+        // a request its whole time. A fresh one tells within the time-out of a connect.
+        if self.servers.get(&attempt.server).is_some_and(|server| server.heard < attempt.sent) {
+            self.pool.close_idle(attempt.server);
+        }
         self.end(key, status);
     }
 
@@ -508,7 +520,8 @@
             let zone = place(&self.deployment.zones, &entry.zone).unwrap_or(255) as u8;
             let cell = entry.group;
             lines.push(ServerLine { id, zone, cell, kind, weight: entry.weight, started, condition });
-            let before = self.servers.insert(id, Server { address, speech, condition });
+            let heard = self.servers.get(&id).map_or(0, |server| server.heard);
+            let before = self.servers.insert(id, Server { address, speech, condition, heard });
             if condition != Condition::Ready || before.is_some_and(|before| before.address != address) {
                 self.pool.close_idle(id);
             }
--- a/tests/node/main.rs
+++ b/tests/node/main.rs
@@ -6,6 +6,7 @@
 use std::io::Write;
 use std::net::{SocketAddr, TcpListener};
 use std::process::Command;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::mpsc::channel;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -175,6 +176,38 @@
     assert_ne!(cache.next().conn, cache.next().conn, "the connection of what was given up is not used again");
 }
 
+#[test]
+fn kept_connections_to_a_machine_that_vanished_cost_one_request_and_no_more() {
+    let (go, wait) = channel();
+    let wait = Arc::new(Mutex::new(Some(wait)));
+    let vanished = Arc::new(AtomicBool::new(false));
+    let mut old = false; // Of each connection its own.
+    let (gone, at_cache) = (vanished.clone(), wait.clone());
+    let cache = cache(move |words| {
+        if old && gone.load(Ordering::SeqCst) {
+            return Act::Hang;
+        }
+        old = true;
+        match words[1].as_str() {
+            "ee" => Act::SayAfter(at_cache.lock().unwrap().take().unwrap(), hit("slow")),
+            key => Act::Say(hit(key)),
+        }
+    });
+    let origin = no_origin();
+    let (discovery, _say, _calls) = quiet();
+    let node = Node::start(discovery, &pair(cache.address, origin.address));
+    let mut client = node.client();
+    client.send(&get("ee", "1"));
+    cache.next();
+    assert_eq!(node.client().ask(&get("aa", "2")).unwrap(), "aa", "on a second connection");
+    go.send(()).unwrap();
+    assert_eq!(client.answer().unwrap(), "slow");
+    vanished.store(true, Ordering::SeqCst);
+    let short = command(&["OBJ.GET", "aa", "3", "c=read,t=acme,d=400"]);
+    assert!(client.ask(&short).unwrap().starts_with('-'));
+    assert_eq!(client.ask(&get("bb", "4")).unwrap(), "bb", "on a fresh connection");
+}
+
 #[test]
 fn a_server_told_to_drain_gets_nothing_new_and_a_failed_watch_leaves_the_list() {
     let (first, second) = (cache(|_| Act::Say(hit("first"))), cache(|_| Act::Say(hit("second"))));
--- a/tests/node/stand_in.rs
+++ b/tests/node/stand_in.rs
@@ -20,6 +20,8 @@
     SayAndClose(Vec<u8>),
     /// Ends the connection.
     Close,
+    /// Says nothing, and keeps the connection.
+    Hang,
 }
 
 /// A request that reached a stand-in: its words, and the number of its connection; without words, the end
@@ -88,6 +90,7 @@
             }
             Act::SayAndClose(bytes) => (bytes, true),
             Act::Close => (Vec::new(), true),
+            Act::Hang => (Vec::new(), false),
         };
         if out.write_all(&said).is_err() || close {
             // Shut down, not only dropped: a process that another test is just starting may hold it too.
