Test the watch on pushed lists over sockets

A node without a known list answers PING with an error until its first list has come, and opens a refused or ended watch again by itself, as the stand-in for discovery plays it.

--- a/tests/node/main.rs
+++ b/tests/node/main.rs
@@ -244,6 +244,24 @@
     }
 }
 
+#[test]
+fn where_lists_are_pushed_the_watch_is_opened_again_and_a_node_is_ready_with_its_first_list() {
+    let cache = cache(|words| Act::Say(hit(&words[1])));
+    let origin = no_origin();
+    let refused = b"HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n".to_vec();
+    let (discovery, say, calls) = discovery(vec![refused, watch_head(), watch_head()]);
+    let node = Node::start_pushed(discovery, &listing(0, true, &[]));
+    for _ in 0..3 {
+        assert_eq!(calls.recv_timeout(LONG).unwrap(), "GET /v1/servers?watch=1 HTTP/1.1");
+    }
+    let mut client = node.client();
+    assert!(client.ask(&command(&["PING"])).unwrap().starts_with('-'), "it knows no server yet");
+    say.send(chunk(&pair(cache.address, origin.address))).unwrap();
+    let ready = (0..100_000).any(|_| client.ask(&command(&["PING"])).unwrap() == "+PONG");
+    assert!(ready);
+    assert_eq!(client.ask(&get("aa", "1")).unwrap(), "aa");
+}
+
 #[test]
 fn a_server_that_moved_is_found_at_its_new_address() {
     let (old, new) = (cache(|_| Act::Say(hit("old"))), cache(|_| Act::Say(hit("new"))));
--- a/tests/node/stand_in.rs
+++ b/tests/node/stand_in.rs
@@ -248,9 +248,19 @@
 
     /// Starts a node behind a shell command, such as a limit.
     pub fn start_with(discovery: SocketAddr, known: &str, sockets: usize, before: &str) -> Node {
+        Node::start_in(discovery, known, sockets, before, settings())
+    }
+
+    /// Starts a node where lists are pushed.
+    pub fn start_pushed(discovery: SocketAddr, known: &str) -> Node {
+        let settings = settings().replace(r#""discovery":"ask""#, r#""discovery":"push""#);
+        Node::start_in(discovery, known, 256, "", &settings)
+    }
+
+    fn start_in(discovery: SocketAddr, known: &str, sockets: usize, before: &str, settings: &str) -> Node {
         let path = config_file(&format!(
             r#"{{"name":"n0","listen":"127.0.0.1:0","discovery":"{discovery}","seed":"0a","limits":{{"sockets":{sockets}}},"known":{known},"settings":{}}}"#,
-            settings()
+            settings
         ));
         let mut child = Command::new("/bin/sh")
             .arg("-c")
