Move discovery on SIGHUP instead of ending

SIGHUP had no handler (main.rs). Ruled out: nothing else ended that node; its log ends at the signal. Also at fault once handled: ROUTER_DISCOVERY went before the file (config.rs), the new discovery would have been asked for changes after the old one's version (discovery.rs), and lines of the old watch still queued would have set the version back (node.rs). The test was seen to fail without the mend.

--- a/src/bin/spardeal-node/config.rs
+++ b/src/bin/spardeal-node/config.rs
@@ -9,6 +9,7 @@
 use crate::discovery::Listing;
 
 /// All that a node is told at its start.
+#[derive(Debug)]
 pub struct Config {
     /// Where clients connect.
     pub listen: SocketAddr,
@@ -85,8 +86,18 @@
 const LEAST_SOCKETS: usize = 32;
 
 impl Config {
-    /// Reads the configuration that the environment names.
+    /// Reads the configuration that the environment names, at the start.
     pub fn from_env() -> Result<Config, ConfigError> {
+        Self::read(false)
+    }
+
+    /// Reads it again. Against a reload that changes nothing: the environment is that of the start, so what
+    /// the file says of discovery goes before it now.
+    pub fn again() -> Result<Config, ConfigError> {
+        Self::read(true)
+    }
+
+    fn read(again: bool) -> Result<Config, ConfigError> {
         let var = |name| std::env::var(name).ok().filter(|value| !value.is_empty());
         let path = var("ROUTER_CONFIG").ok_or(ConfigError::Unset("ROUTER_CONFIG"))?;
         let text = std::fs::read(&path).map_err(|e| ConfigError::File(path, e))?;
@@ -100,10 +111,14 @@
         if file.limits.sockets < LEAST_SOCKETS {
             return Err(ConfigError::Field("limits.sockets", file.limits.sockets.to_string()));
         }
+        let discovery = match var("ROUTER_DISCOVERY") {
+            Some(at_start) if !again || file.discovery.is_empty() => at_start,
+            _ => file.discovery,
+        };
         let seed = u64::from_str_radix(&file.seed, 16);
         Ok(Config {
             listen: address("listen", var("ROUTER_LISTEN").unwrap_or(file.listen))?,
-            discovery: address("discovery", var("ROUTER_DISCOVERY").unwrap_or(file.discovery))?,
+            discovery: address("discovery", discovery)?,
             seed: seed.unwrap_or_else(|_| xxh3_64(file.seed.as_bytes())),
             sockets: file.limits.sockets.min(1024),
             known: file.known.unwrap_or_default(),
--- a/src/bin/spardeal-node/discovery.rs
+++ b/src/bin/spardeal-node/discovery.rs
@@ -63,6 +63,16 @@
 /// The longest list.
 const MAX_LIST: usize = 4 * 1024 * 1024;
 
+/// Tells what one discovery said from what the next one says: versions of different ones can't be compared.
+pub type Era = u64;
+
+/// Where a call's news goes, and whose it is.
+#[derive(Clone)]
+struct Line {
+    hub: mpsc::Sender<Input>,
+    era: Era,
+}
+
 /// The calls to discovery that are out: one watch and one whole list at most.
 pub struct Discovery {
     address: SocketAddr,
@@ -71,12 +81,38 @@
     hub: mpsc::Sender<Input>,
     watch: Option<AbortHandle>,
     fetch: Option<AbortHandle>,
+    /// Counts the moves from one discovery to another.
+    era: Era,
 }
 
 impl Discovery {
     /// Discovery at an address, where a list of a version is held.
     pub fn new(address: SocketAddr, index: u64, hub: mpsc::Sender<Input>) -> Self {
-        Discovery { address, index: Arc::new(AtomicU64::new(index)), hub, watch: None, fetch: None }
+        Discovery { address, index: Arc::new(AtomicU64::new(index)), hub, watch: None, fetch: None, era: 0 }
+    }
+
+    /// Discovery is at another address from now on; the watch is opened there at once. Against a list that
+    /// stands still: the new one counts versions in its own way, so that the whole list is taken from it.
+    pub fn move_to(&mut self, address: SocketAddr, pushed: bool) {
+        self.fetch.take().inspect(AbortHandle::abort);
+        self.watch.take().inspect(AbortHandle::abort);
+        (self.address, self.index) = (address, Arc::default());
+        self.era += 1;
+        if pushed { self.follow() } else { self.subscribe(true) }
+    }
+
+    /// Where discovery is.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Whether news is of the discovery that is in force.
+    pub fn present(&self, era: Era) -> bool {
+        era == self.era
+    }
+
+    fn line(&self) -> Line {
+        Line { hub: self.hub.clone(), era: self.era }
     }
 
     /// Version of the list held.
@@ -92,10 +128,10 @@
     /// Begins the watch, anew if there is one, or ends it.
     pub fn subscribe(&mut self, on: bool) {
         self.watch.take().inspect(AbortHandle::abort);
-        let (address, hub, index) = (self.address, self.hub.clone(), self.index.clone());
+        let (address, line, index) = (self.address, self.line(), self.index.clone());
         let call = async move {
-            report(watch(address, &index, &hub).await);
-            let _ = hub.send(Input::ListFailed).await;
+            report(watch(address, &index, &line).await);
+            let _ = line.hub.send(Input::ListFailed(line.era)).await;
         };
         self.watch = on.then(|| tokio::spawn(call).abort_handle());
     }
@@ -103,12 +139,12 @@
     /// Asks for the whole list once.
     pub fn fetch(&mut self) {
         self.fetch.take().inspect(AbortHandle::abort);
-        let (address, hub) = (self.address, self.hub.clone());
+        let (address, line) = (self.address, self.line());
         let call = async move {
-            let called = lists(address, "/v1/servers", &hub).await;
+            let called = lists(address, "/v1/servers", &line).await;
             if let Err(e) = called {
                 log(&format!("discovery: {e}"));
-                let _ = hub.send(Input::ListFailed).await;
+                let _ = line.hub.send(Input::ListFailed(line.era)).await;
             }
         };
         self.fetch = Some(tokio::spawn(call).abort_handle());
@@ -116,12 +152,12 @@
 
     /// Where lists are pushed, an agent on this machine has them: its watch is opened again by itself.
     pub fn follow(&mut self) {
-        let (address, hub, index) = (self.address, self.hub.clone(), self.index.clone());
+        let (address, line, index) = (self.address, self.line(), self.index.clone());
         let call = async move {
             let mut pause = BACKOFF.0;
             loop {
                 let before = index.load(Ordering::Relaxed);
-                let _ = watch(address, &index, &hub).await;
+                let _ = watch(address, &index, &line).await;
                 let heard = index.load(Ordering::Relaxed) != before;
                 pause = if heard { BACKOFF.0 } else { (pause * 2).min(BACKOFF.1) };
                 tokio::time::sleep(pause).await;
@@ -160,12 +196,12 @@
     }
 }
 
-async fn watch(address: SocketAddr, index: &AtomicU64, hub: &mpsc::Sender<Input>) -> Result<(), CallError> {
+async fn watch(address: SocketAddr, index: &AtomicU64, line: &Line) -> Result<(), CallError> {
     let path = match index.load(Ordering::Relaxed) {
         0 => "/v1/servers?watch=1".into(),
         held => format!("/v1/servers?watch=1&after={held}"),
     };
-    lists(address, &path, hub).await
+    lists(address, &path, line).await
 }
 
 fn report(called: Result<(), CallError>) {
@@ -176,7 +212,7 @@
 }
 
 /// Makes a call and passes on each line of its answer that holds a list, until the answer ends.
-async fn lists(address: SocketAddr, path: &str, hub: &mpsc::Sender<Input>) -> Result<(), CallError> {
+async fn lists(address: SocketAddr, path: &str, to: &Line) -> Result<(), CallError> {
     let silent = |_| CallError::Silent;
     let mut stream = tokio::time::timeout(CONNECT, TcpStream::connect(address)).await.map_err(silent)??;
     let _ = stream.set_nodelay(true);
@@ -212,11 +248,11 @@
         // A body of a stated length is one list, on however many lines; else each line is one.
         let whole = head.content_length.is_some();
         while !whole && let Some(end) = body.iter().position(|byte| *byte == b'\n') {
-            pass_on(&body.split_to(end + 1), hub).await?;
+            pass_on(&body.split_to(end + 1), to).await?;
             patience = SILENCE;
         }
         if ended {
-            return pass_on(&body, hub).await;
+            return pass_on(&body, to).await;
         }
         if body.len() > MAX_LIST {
             return Err(CallError::Garbage);
@@ -229,10 +265,10 @@
     }
 }
 
-async fn pass_on(line: &[u8], hub: &mpsc::Sender<Input>) -> Result<(), CallError> {
+async fn pass_on(line: &[u8], to: &Line) -> Result<(), CallError> {
     if !line.trim_ascii().is_empty() {
         let listing = serde_json::from_slice(line).map_err(|_| CallError::Garbage)?;
-        let _ = hub.send(Input::List(listing)).await;
+        let _ = to.hub.send(Input::List(to.era, listing)).await;
     }
     Ok(())
 }
--- a/src/bin/spardeal-node/main.rs
+++ b/src/bin/spardeal-node/main.rs
@@ -43,6 +43,7 @@
     let part = (config.sockets - RESERVE.min(config.sockets / 2)) / 2;
     let room = Arc::new(Semaphore::new(part));
     let mut terms = [signal(SignalKind::terminate())?, signal(SignalKind::interrupt())?];
+    let mut hangup = signal(SignalKind::hangup())?;
     let listener = TcpListener::bind(config.listen).await?;
     log(&format!("listening on {}", listener.local_addr()?));
     let deployment = Arc::new(config.deployment.clone());
@@ -64,6 +65,16 @@
         tokio::select! { _ = term.recv() => {}, _ = int.recv() => {} }
         let _ = signals.send(Input::Terminate).await;
     });
+    let reloads = hub.clone();
+    tokio::spawn(async move {
+        // Against an end by SIGHUP, and against a file that can't be used: the old configuration stays.
+        while hangup.recv().await.is_some() {
+            match Config::again() {
+                Ok(config) => drop(reloads.send(Input::Reload(Box::new(config))).await),
+                Err(e) => log(&format!("reload: {e}; the old configuration stays in force")),
+            }
+        }
+    });
     let idle = move || room.available_permits() >= part - 1;
     Node::new(config, deployment, clock, hub, part).run(inputs, phase_set, idle).await;
     Ok(())
--- a/src/bin/spardeal-node/node.rs
+++ b/src/bin/spardeal-node/node.rs
@@ -18,7 +18,7 @@
 
 use crate::clients::{Asked, ClientId, Command, Phase};
 use crate::config::Config;
-use crate::discovery::{Discovery, Listing};
+use crate::discovery::{Discovery, Era, Listing};
 use crate::upstreams::{AttemptKey, ConnId, News, Pool, Reply, Speech};
 use crate::{caches, log, origin, resp};
 
@@ -32,9 +32,11 @@
     /// News of a connection to a server.
     Conn(ConnId, News),
     /// Discovery has sent a list or a change.
-    List(Listing),
+    List(Era, Listing),
     /// A call to discovery failed, or the watch broke.
-    ListFailed,
+    ListFailed(Era),
+    /// The configuration was read anew.
+    Reload(Box<Config>),
     /// The platform asks the node to end.
     Terminate,
 }
@@ -220,8 +222,12 @@
                 }
             }
             Input::Conn(conn, news) => self.conn(conn, news),
-            Input::List(listing) => self.list(listing, None),
-            Input::ListFailed => {
+            // Against what the discovery before the present one still had under way: its versions and its view
+            // are no longer in force.
+            Input::List(era, _) | Input::ListFailed(era) if !self.discovery.present(era) => {}
+            Input::Reload(config) => self.reload(&config),
+            Input::List(_, listing) => self.list(listing, None),
+            Input::ListFailed(_) => {
                 self.tell(Event::ServerList { kind: ListKind::Failed, servers: Vec::new() });
             }
             Input::Terminate if self.ends_at.is_none() => {
@@ -235,6 +241,17 @@
         }
     }
 
+    /// A new configuration: discovery moves. What the module was built with stays until a restart.
+    fn reload(&mut self, config: &Config) {
+        if config.deployment != *self.deployment {
+            log("reload: changed settings take effect at the next start");
+        }
+        if config.discovery != self.discovery.address() {
+            self.discovery.move_to(config.discovery, !self.deployment.settings.ask_discovery);
+        }
+        log(&format!("reload: discovery is at {}", config.discovery));
+    }
+
     fn due(&mut self, due: Due, now: Micros) {
         match due {
             Due::Policy(token) => self.tell(Event::Timer(token)),
--- a/tests/node/main.rs
+++ b/tests/node/main.rs
@@ -277,6 +277,39 @@
     assert_eq!(client.ask(&get("aa", "3")).unwrap(), "new", "no connection to the old one is used again");
 }
 
+#[test]
+fn on_sighup_discovery_moves_and_a_file_that_cannot_be_used_changes_nothing() {
+    let caches = ["first", "second", "third"].map(|name| cache(move |_| Act::Say(hit(name))));
+    let origin = no_origin();
+    let list = |index, server: &StandIn| {
+        let entries =
+            [entry("s-1", server.address, "std", "active"), entry("o-1", origin.address, "origin", "active")];
+        listing(index, true, &entries)
+    };
+    let (old, _say_old, _) = quiet();
+    let node = Node::start(old, &list(500, &caches[0]));
+    let mut client = node.client();
+    assert_eq!(client.ask(&get("aa", "1")).unwrap(), "first");
+    let mut kept = Vec::new();
+    for (at, index) in [(1, 3), (2, 2)] {
+        let (next, say, calls) = quiet();
+        node.reload(Ok(next));
+        let call = calls.recv_timeout(LONG).unwrap();
+        assert_eq!(call, "GET /v1/servers?watch=1 HTTP/1.1", "versions of the old one mean nothing here");
+        say.send(chunk(&list(index, &caches[at]))).unwrap();
+        let name = ["first", "second", "third"][at];
+        assert!(
+            (0..100_000).any(|_| client.ask(&get("aa", "2")).unwrap() == name),
+            "the new list is in force"
+        );
+        kept.push((say, calls));
+        node.reload(Err("{"));
+        let told = std::iter::from_fn(|| node.log.recv_timeout(LONG).ok());
+        assert!(told.into_iter().any(|line| line.contains("the old configuration stays in force")));
+        assert_eq!(client.ask(&get("aa", "3")).unwrap(), name);
+    }
+}
+
 #[test]
 fn on_sigterm_it_takes_connections_for_a_while_finishes_what_it_took_and_exits_with_0() {
     let (go, wait) = channel();
--- a/tests/node/stand_in.rs
+++ b/tests/node/stand_in.rs
@@ -219,6 +219,9 @@
     child: Child,
     pub address: SocketAddr,
     pub log: Receiver<String>,
+    path: std::path::PathBuf,
+    text: String,
+    discovery: SocketAddr,
 }
 
 static FILES: AtomicU32 = AtomicU32::new(0);
@@ -258,16 +261,17 @@
     }
 
     fn start_in(discovery: SocketAddr, known: &str, sockets: usize, before: &str, settings: &str) -> Node {
-        let path = config_file(&format!(
+        let text = format!(
             r#"{{"name":"n0","listen":"127.0.0.1:0","discovery":"{discovery}","seed":"0a","limits":{{"sockets":{sockets}}},"known":{known},"settings":{}}}"#,
             settings
-        ));
+        );
+        let path = config_file(&text);
         let mut child = Command::new("/bin/sh")
             .arg("-c")
             .arg(format!("{before} exec \"{}\"", env!("CARGO_BIN_EXE_spardeal-node")))
             .env("ROUTER_CONFIG", &path)
             .env_remove("ROUTER_LISTEN")
-            .env_remove("ROUTER_DISCOVERY")
+            .env("ROUTER_DISCOVERY", discovery.to_string())
             .stderr(Stdio::piped())
             .spawn()
             .unwrap();
@@ -276,8 +280,17 @@
         let address = first.rsplit(' ').next().and_then(|a| a.parse().ok()).expect("an address in the log");
         let (tell, log) = channel();
         std::thread::spawn(move || lines.for_each(|line| drop(tell.send(line))));
-        let _ = std::fs::remove_file(path);
-        Node { child, address, log }
+        Node { child, address, log, path, text, discovery }
+    }
+
+    /// Replaces the configuration by one that names another discovery, or by any text, and sends SIGHUP.
+    pub fn reload(&self, with: Result<SocketAddr, &str>) {
+        let text = match with {
+            Ok(address) => self.text.replace(&self.discovery.to_string(), &address.to_string()),
+            Err(text) => text.into(),
+        };
+        std::fs::write(&self.path, text).unwrap();
+        self.kill("HUP");
     }
 
     pub fn client(&self) -> Client {
@@ -287,7 +300,11 @@
     }
 
     pub fn terminate(&self) {
-        let kill = format!("kill -TERM {}", self.child.id());
+        self.kill("TERM");
+    }
+
+    fn kill(&self, signal: &str) {
+        let kill = format!("kill -{signal} {}", self.child.id());
         assert!(Command::new("/bin/sh").arg("-c").arg(kill).status().unwrap().success());
     }
 
@@ -300,6 +317,7 @@
     fn drop(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
+        let _ = std::fs::remove_file(&self.path);
     }
 }
 
