Pass on no spoilt answer, and read nothing that comes behind a good one

Checked with a probe that logged every broken answer and all bytes behind good ones: what stands behind good answers came in the same write and was dropped, so these were not the cause (ruled out); arrays of other than three items with a value in front were taken (caches.rs decode), as were repeated lengths, the last one winning, signs in lengths, and any error line, its connection kept (http.rs head). Found by reading: interim answers recursed without end (origin.rs); a copy a moment late was the next request's answer (upstreams.rs reuse), now a connection rests 15 ms; an answer half told was waited for until the deadline, now 250 ms. A spoilt answer has a status of its own and is no loss of the connection: the server is well. Three tests, each seen to fail without the mend.

--- a/src/bin/spardeal-node/caches.rs
+++ b/src/bin/spardeal-node/caches.rs
@@ -21,28 +21,34 @@
     }
 }
 
-/// Takes an answer off the front of what a connection brought; `None` while it is not all there.
+/// Takes an answer off the front of what a connection brought; `None` while it is not all there. Against
+/// spoilt answers passed on: whatever is not just as the protocol has it is broken.
 pub fn decode(buffer: &mut BytesMut, load_names: &[String]) -> Result<Option<Reply>, Broken> {
     let Some(value) = resp::take_value(buffer).map_err(|_| Broken)? else { return Ok(None) };
     let reply = |status| Reply { status, note: Note::None, load: Load::default(), value: None, keep: true };
     Ok(Some(match value {
         Value::Array(items) => {
-            let text = |at: usize| match items.get(at) {
-                Some(Value::Bulk(Some(text)) | Value::Line(text)) => std::str::from_utf8(text).unwrap_or(""),
-                _ => "",
+            let Ok([Value::Bulk(value), Value::Bulk(how), Value::Bulk(report)]) =
+                <[Value; 3]>::try_from(items)
+            else {
+                return Err(Broken);
             };
-            let (note, load) = (note(text(1)), load(text(2), load_names));
-            match items.first() {
-                Some(Value::Bulk(Some(value))) => {
-                    Reply { note, load, value: Some(value.clone()), ..reply(Status::Served) }
-                }
-                Some(Value::Bulk(None)) => Reply { note, load, ..reply(Status::Miss) },
-                _ => return Err(Broken),
-            }
+            // A report or a word that can't be read tells nothing, and the answer is good all the same.
+            let text = |text: &Option<Bytes>| {
+                text.as_ref().and_then(|t| std::str::from_utf8(t).ok()).unwrap_or("").to_owned()
+            };
+            let (note, load) = (note(&text(&how)), load(&text(&report), load_names));
+            let status = if value.is_some() { Status::Served } else { Status::Miss };
+            Reply { note, load, value, ..reply(status) }
         }
         Value::Error(line) => {
-            let line = std::str::from_utf8(&line).unwrap_or("");
-            let status = if line.split(' ').next() == Some("BUSY") { Status::Full } else { Status::Error };
+            let line = std::str::from_utf8(&line).map_err(|_| Broken)?;
+            let status = match line.split(' ').next() {
+                _ if line.chars().any(char::is_control) => return Err(Broken),
+                Some("BUSY") => Status::Full,
+                Some("ERR") => Status::Error,
+                _ => return Err(Broken),
+            };
             let last = line.rsplit(' ').next().unwrap_or("");
             Reply { load: load(last, load_names), ..reply(status) }
         }
@@ -66,8 +72,9 @@
     let mut load = Load::default();
     for (slot, name) in names.iter().take(load.values.len()).enumerate() {
         let pair = text.split(',').filter_map(|pair| pair.split_once('='));
-        let Some(value) = pair.filter(|(key, _)| key == name).find_map(|(_, value)| value.parse().ok())
-        else {
+        let value = pair.filter(|(key, _)| key == name).find_map(|(_, value)| value.parse::<f32>().ok());
+        // Against reports that parse and tell nothing: not a number, endless or negative.
+        let Some(value) = value.filter(|value| value.is_finite() && *value >= 0.0) else {
             return Load::default();
         };
         load.values[slot] = value;
--- a/src/bin/spardeal-node/http.rs
+++ b/src/bin/spardeal-node/http.rs
@@ -45,8 +45,19 @@
     for header in response.headers.iter() {
         let value = std::str::from_utf8(header.value).unwrap_or("").trim();
         match header.name.to_ascii_lowercase().as_str() {
-            "content-length" => head.content_length = Some(value.parse().map_err(|_| Malformed)?),
-            "transfer-encoding" => head.chunked |= value.to_ascii_lowercase().ends_with("chunked"),
+            "content-length" => {
+                // Against lengths that two readers would read differently: signs, and two that differ.
+                let digits = !value.is_empty() && value.bytes().all(|byte| byte.is_ascii_digit());
+                let length = value.parse().ok().filter(|_| digits).ok_or(Malformed)?;
+                if head.content_length.is_some_and(|before| before != length) {
+                    return Err(Malformed);
+                }
+                head.content_length = Some(length);
+            }
+            "transfer-encoding" if value.eq_ignore_ascii_case("chunked") && !head.chunked => {
+                head.chunked = true;
+            }
+            "transfer-encoding" => return Err(Malformed),
             "connection" => head.close |= value.eq_ignore_ascii_case("close"),
             "x-unprocessed" => head.unprocessed = value == "1",
             "x-backend-load" => head.load = Some(value.into()),
@@ -54,6 +65,9 @@
             _ => {}
         }
     }
+    if head.chunked && head.content_length.is_some() {
+        return Err(Malformed);
+    }
     Ok(Some(head))
 }
 
--- a/src/bin/spardeal-node/node.rs
+++ b/src/bin/spardeal-node/node.rs
@@ -436,8 +436,17 @@
                 }
                 self.end_with(key, reply);
             }
+            (News::Spoilt, Some(key)) => {
+                if let Some(attempt) = self.attempts.get(&key)
+                    && let Some(server) = self.servers.get_mut(&attempt.server)
+                {
+                    server.heard = self.clock.now();
+                }
+                self.pool.close(conn);
+                self.end(key, Status::Spoilt);
+            }
             (News::Lost { written }, Some(key)) => self.lost(key, conn, written),
-            (News::Lost { .. }, None) => self.pool.close(conn),
+            (News::Lost { .. } | News::Spoilt, None) => self.pool.close(conn),
             (_, None) => {}
         }
         self.run_events();
--- a/src/bin/spardeal-node/origin.rs
+++ b/src/bin/spardeal-node/origin.rs
@@ -9,6 +9,9 @@
 use crate::resp::MAX_VALUE;
 use crate::upstreams::{Broken, Reply};
 
+/// Interim answers (1xx) ahead of the final one, at most.
+const MAX_INTERIM: usize = 8;
+
 /// The request for a client's command.
 pub fn encode(command: &Command, host: &str) -> Bytes {
     let mut out = BytesMut::with_capacity(512);
@@ -28,18 +31,32 @@
 
 /// Takes an answer off the front of what a connection brought; `None` while it is not all there.
 pub fn decode(buffer: &mut BytesMut, load_names: &[String]) -> Result<Option<Reply>, Broken> {
-    let Some(head) = http::head(buffer).map_err(|_| Broken)? else { return Ok(None) };
-    if (100..200).contains(&head.status) {
-        let _ = buffer.split_to(head.length);
-        return decode(buffer, load_names);
-    }
+    // Interim answers come ahead of the final one. They stay in the buffer until that has come, so that the
+    // few that are allowed are counted anew each time: against a server that sends them without end.
+    let mut ahead = 0;
+    let mut heads = 0..=MAX_INTERIM;
+    let head = loop {
+        heads.next().ok_or(Broken)?;
+        let Some(head) = http::head(&buffer[ahead..]).map_err(|_| Broken)? else { return Ok(None) };
+        match head.status {
+            100 | 102..200 => ahead += head.length,
+            200.. => break head,
+            // Nobody asked for another protocol, and there are no codes under 100.
+            _ => return Err(Broken),
+        }
+    };
+    let start = ahead + head.length;
     let mut keep = !head.close;
     let value = if head.chunked {
-        let (mut rest, mut body) = (BytesMut::from(&buffer[head.length..]), BytesMut::new());
+        let (mut rest, mut body) = (BytesMut::from(&buffer[start..]), BytesMut::new());
         if !Chunks::default().take(&mut rest, &mut body).map_err(|_| Broken)? {
             return if rest.len() + body.len() > 2 * MAX_VALUE { Err(Broken) } else { Ok(None) };
         }
         keep = false;
+        if body.len() > MAX_VALUE {
+            return Err(Broken);
+        }
+        buffer.clear();
         body.freeze()
     } else {
         let length = match head.content_length {
@@ -52,10 +69,10 @@
             }
             _ => return Err(Broken),
         };
-        if buffer.len() < head.length + length {
+        if buffer.len() < start + length {
             return Ok(None);
         }
-        let _ = buffer.split_to(head.length);
+        let _ = buffer.split_to(start);
         buffer.split_to(length).freeze()
     };
     let status = match head.status {
--- a/src/bin/spardeal-node/upstreams.rs
+++ b/src/bin/spardeal-node/upstreams.rs
@@ -17,6 +17,14 @@
 use crate::node::Input;
 use crate::{caches, origin};
 
+/// An answer that has begun and brings nothing more for so long will not be whole.
+const HALF_TOLD: Duration = Duration::from_millis(250);
+/// The wait for an answer to begin: the node's loop gives attempts up, by closing their connections.
+const NO_END: Duration = Duration::from_secs(3600);
+/// A connection rests for so long after an answer. Against a second copy or noise that comes a moment behind
+/// a good answer: it must be seen before the next request is written, or it would be read as its answer.
+const REST: Micros = 15_000;
+
 /// Names a connection; never used twice.
 pub type ConnId = u64;
 /// Names an attempt: its request and its number.
@@ -44,6 +52,8 @@
     Up,
     /// The answer to the request that it carried.
     Answer(Reply),
+    /// Its server answered with what can't be understood: the request may have run, the server is well.
+    Spoilt,
     /// It could not be opened or is lost; whether the last byte of its request may have been written.
     Lost { written: bool },
 }
@@ -66,6 +76,13 @@
     carried: u64,
 }
 
+impl Conn {
+    /// Whether its task still takes requests.
+    fn up(&self) -> bool {
+        !self.jobs.is_closed()
+    }
+}
+
 impl Drop for Conn {
     fn drop(&mut self) {
         // A node gives an attempt up by closing its connection.
@@ -98,9 +115,14 @@
     /// An idle connection to a server for an attempt, if there is one.
     pub fn reuse(&mut self, server: ServerId, attempt: AttemptKey, now: Micros) -> Option<ConnId> {
         loop {
-            let id = self.idle.get_mut(&server)?.pop()?;
+            let idle = self.idle.get_mut(&server)?;
+            // In the order in which they became idle: the one used last among those that have rested.
+            let conns = &self.conns;
+            let rested =
+                |id: &ConnId| conns.get(id).is_none_or(|conn| conn.idle_since + REST <= now || !conn.up());
+            let id = idle.iter().rposition(rested).map(|at| idle.remove(at))?;
             match self.conns.get_mut(&id) {
-                Some(conn) if now < conn.idle_since + self.idle_limit && !conn.jobs.is_closed() => {
+                Some(conn) if now < conn.idle_since + self.idle_limit && conn.up() => {
                     conn.attempt = Some(attempt);
                     return Some(id);
                 }
@@ -242,6 +264,9 @@
             }
             drop(job);
             let reply = loop {
+                // The rest of an answer comes with its beginning. Against lines and values that never end: one
+                // that stands still half told is spoilt, and its request can still go elsewhere.
+                let patience = if buffer.is_empty() { NO_END } else { HALF_TOLD };
                 let decoded = match self.speech {
                     Speech::Resp => caches::decode(&mut buffer, &self.deployment.load_names),
                     Speech::Http => origin::decode(&mut buffer, &self.deployment.load_names),
@@ -249,15 +274,18 @@
                 match decoded {
                     Ok(Some(reply)) => break reply,
                     Ok(None) => {}
-                    Err(Broken) => return News::Lost { written: true },
+                    Err(Broken) => return News::Spoilt,
                 }
                 buffer.reserve(2048);
-                if !matches!(stream.read_buf(&mut buffer).await, Ok(count) if count > 0) {
-                    return News::Lost { written: true };
+                match tokio::time::timeout(patience, stream.read_buf(&mut buffer)).await {
+                    Ok(Ok(count)) if count > 0 => {}
+                    Ok(_) => return News::Lost { written: true },
+                    Err(_) => return News::Spoilt,
                 }
             };
             // Bytes beyond the answer belong to no request: nothing after them could be matched.
-            let keep = reply.keep && buffer.is_empty();
+            let more = !buffer.is_empty() || stream.try_read(&mut [0]).is_ok();
+            let keep = reply.keep && !more;
             buffer = BytesMut::new();
             news = News::Answer(Reply { keep, ..reply });
             if !keep {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -262,6 +262,8 @@
     Miss,
     /// The server reported an error; it may have run.
     Error,
+    /// The answer can't be understood, though the server gave one; it may have run.
+    Spoilt,
     /// Turned away unseen; it did not run.
     Full,
     /// No answer in time; it may have run or still run.
--- a/tests/node/main.rs
+++ b/tests/node/main.rs
@@ -202,6 +202,8 @@
     assert_eq!(node.client().ask(&get("aa", "2")).unwrap(), "aa", "on a second connection");
     go.send(()).unwrap();
     assert_eq!(client.answer().unwrap(), "slow");
+    // A connection that has just answered rests before it is used again.
+    std::thread::sleep(Duration::from_millis(100));
     vanished.store(true, Ordering::SeqCst);
     let short = command(&["OBJ.GET", "aa", "3", "c=read,t=acme,d=400"]);
     assert!(client.ask(&short).unwrap().starts_with('-'));
@@ -277,6 +279,119 @@
     assert_eq!(client.ask(&get("aa", "3")).unwrap(), "new", "no connection to the old one is used again");
 }
 
+/// Two caches and an origin that gives nothing.
+fn trio(caches: [SocketAddr; 2], origin: SocketAddr) -> String {
+    let entries = [
+        entry("s-1", caches[0], "std", "active"),
+        entry("s-2", caches[1], "std", "active"),
+        entry("o-1", origin, "origin", "active"),
+    ];
+    listing(5, true, &entries)
+}
+
+#[test]
+fn a_spoilt_answer_of_a_cache_server_is_passed_on_to_nobody_and_its_connection_is_used_no_more() {
+    let shapes: [&[u8]; 16] = [
+        b"*2\r\n$3\r\nbad\r\n$3\r\nhit\r\n",
+        b"*4\r\n$3\r\nbad\r\n$3\r\nhit\r\n$-1\r\n$-1\r\n",
+        b"*1\r\n$3\r\nbad\r\n",
+        b"*3\r\n$3\r\nbad\r\n:5\r\n$-1\r\n",
+        b"*3\r\n$3\r\nbad\r\n$-1\r\n*0\r\n",
+        b"*3\r\n$3\r\nbad\r\n+hit\r\n$-1\r\n",
+        b"*3\r\n$4\r\nabcdefgh\r\n$-1\r\n$-1\r\n",
+        b"*3\r\n$-7\r\n$-1\r\n$-1\r\n",
+        b"*3\r\n$3000000000\r\nbad",
+        b"*1000000000\r\n",
+        b"*0\r\n",
+        b"$3\r\nbad\r\n",
+        b"+OK\r\n",
+        b"-\xff\xfe\r\n",
+        b"-WHAT is this\r\n",
+        b"*3\r\n$100\r\nbad and then nothing",
+    ];
+    let turn = Arc::new(Mutex::new(0));
+    let act = move |words: &[String]| {
+        if words[1] == "cc" {
+            return Act::Say(hit(&words[2]));
+        }
+        let mut turn = turn.lock().unwrap();
+        *turn += 1;
+        let spoilt = *turn % 2 == 1;
+        Act::Say(if spoilt { shapes[*turn / 2].to_vec() } else { hit(&words[2]) })
+    };
+    let caches = [cache(act.clone()), cache(act)];
+    let origin = no_origin();
+    let (discovery, _say, _calls) = quiet();
+    let node = Node::start(discovery, &trio([caches[0].address, caches[1].address], origin.address));
+    let mut client = node.client();
+    for (id, shape) in shapes.iter().enumerate() {
+        let id = format!("{id:x}");
+        let answer = client.ask(&get("aa", &id)).unwrap();
+        assert_eq!(answer, id, "from the other server, after {:?}", String::from_utf8_lossy(shape));
+        // Repeats have a budget, which requests fill.
+        (0..20).for_each(|_| drop(client.ask(&get("cc", "ff"))));
+    }
+    // One key has one first server, which gave the spoilt answers: each on a connection of its own.
+    let first = caches.iter().map(|cache| cache.seen.try_iter().collect::<Vec<_>>());
+    let conns = first.map(|seen| {
+        let asked =
+            seen.iter().filter(|seen| seen.words.get(1).is_some_and(|key| key == "aa")).map(|seen| seen.conn);
+        asked.collect::<std::collections::BTreeSet<_>>().len()
+    });
+    assert_eq!(conns.max(), Some(shapes.len()));
+}
+
+#[test]
+fn a_spoilt_answer_of_the_origin_is_passed_on_to_nobody_and_may_have_run() {
+    let shapes: [&str; 9] = [
+        "HTTP/1.1 200 OK\r\nContent-Length: 3\r\nContent-Length: 2\r\n\r\nbad",
+        "HTTP/1.1 200 OK\r\nContent-Length: +3\r\n\r\nbad",
+        "HTTP/1.1 200 OK\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nbad\r\n0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip, chunked\r\n\r\n3\r\nbad\r\n0\r\n\r\n",
+        "HTTP/1.1 2x0 OK\r\nContent-Length: 3\r\n\r\nbad",
+        "HTTP/1.1 101 Switching\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nbad",
+        &("HTTP/1.1 100 Continue\r\n\r\n".repeat(5000) + "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nbad"),
+        "HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nbad",
+        "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nbad and then nothing",
+    ];
+    let shapes: Vec<_> = shapes.iter().map(|shape| shape.as_bytes().to_vec()).collect();
+    let all = shapes.clone();
+    let cache = cache(|_| Act::Say(miss()));
+    let origin =
+        origin(move |words| match words[0].split('/').nth(1).and_then(|key| key.split(' ').next()) {
+            Some(key) if key.starts_with('b') => Act::Say(all[key[1..].parse::<usize>().unwrap()].clone()),
+            _ => Act::Say([b"HTTP/1.1 100 Continue\r\n\r\n".to_vec(), good()].concat()),
+        });
+    let (discovery, _say, _calls) = quiet();
+    let node = Node::start(discovery, &pair(cache.address, origin.address));
+    let mut client = node.client();
+    for (at, shape) in shapes.iter().enumerate() {
+        let id = at.to_string();
+        let answer = client.ask(&put(&format!("b{at}"), &id, "v")).unwrap();
+        assert_eq!(answer, "-ERR failed", "after {:?}", String::from_utf8_lossy(shape));
+        assert!(origin.next().words[0].contains(&format!("/b{at} ")), "and it was not sent again");
+    }
+    assert_eq!(client.ask(&put("good", "20", "v")).unwrap(), "made", "an interim answer ahead does no harm");
+}
+
+/// A good answer of the origin.
+fn good() -> Vec<u8> {
+    http(200, "X-Backend-Load: ,inflight=NaN,=what\r\n", "made")
+}
+
+#[test]
+fn what_comes_a_moment_behind_a_good_answer_is_no_answer_to_the_next_request() {
+    let cache = cache(|words| Act::SayMore(hit(&words[2]), hit(&words[2])));
+    let origin = no_origin();
+    let (discovery, _say, _calls) = quiet();
+    let node = Node::start(discovery, &pair(cache.address, origin.address));
+    let mut client = node.client();
+    for id in 0..40 {
+        let id = id.to_string();
+        assert_eq!(client.ask(&get("aa", &id)).unwrap(), id, "its own answer");
+    }
+}
+
 #[test]
 fn on_sighup_discovery_moves_and_a_file_that_cannot_be_used_changes_nothing() {
     let caches = ["first", "second", "third"].map(|name| cache(move |_| Act::Say(hit(name))));
--- a/tests/node/stand_in.rs
+++ b/tests/node/stand_in.rs
@@ -18,6 +18,8 @@
     SayAfter(Receiver<()>, Vec<u8>),
     /// Answers with these bytes and ends the connection.
     SayAndClose(Vec<u8>),
+    /// Answers with these bytes, and a moment later with the others.
+    SayMore(Vec<u8>, Vec<u8>),
     /// Ends the connection.
     Close,
     /// Says nothing, and keeps the connection.
@@ -88,6 +90,13 @@
                 let _ = wait.recv_timeout(LONG);
                 (bytes, false)
             }
+            Act::SayMore(bytes, more) => {
+                if out.write_all(&bytes).is_err() {
+                    return;
+                }
+                std::thread::sleep(Duration::from_millis(3));
+                (more, false)
+            }
             Act::SayAndClose(bytes) => (bytes, true),
             Act::Close => (Vec::new(), true),
             Act::Hang => (Vec::new(), false),
