Keep bad clients to absolute limits, one table of sockets and one budget of memory

At fault in clients.rs: a connection with nothing sent was never closed (first > 0), STALLED began anew with each turn of the loop, facts were read as floats or not at all, an open id could be named twice, linger read a megabyte for half a second; resp.rs: an empty command was served, words shared one buffer; main.rs: fixed halves of the table, memory_mb not read. Now: points in time for the first command, a whole command and a written answer; idle places go after 2 s where wanted; facts once and readable; ids claimed; clients and servers share the table with a third left to each; commands, values and answers on their way are accounted against memory_mb.

--- a/src/bin/spardeal-node/clients.rs
+++ b/src/bin/spardeal-node/clients.rs
@@ -1,31 +1,47 @@
 //! The server side: the listener, clients' connections, and the commands on them.
 
-use std::collections::VecDeque;
-use std::sync::Arc;
+use std::collections::{HashSet, VecDeque};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
 use spardeal::settings::Deployment;
-use spardeal::{Key, Micros};
+use spardeal::{Effect, Key, Micros};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore, mpsc, watch};
+use tokio::time::{Instant, sleep_until};
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::memory::{Memory, Share};
 use crate::node::{Clock, Input};
 use crate::resp;
 
 /// Names a client's connection; never used twice.
 pub type ClientId = u64;
 
-/// Requests of one connection that are answered at the same time; more wait unread.
-pub const PIPELINE: usize = 64;
-/// While so much waits to be written to a client, nothing more is read from it.
-const OUT_LIMIT: usize = 64 * 1024;
-/// A client that takes nothing of its answers, or leaves a command half sent, for so long is cut off.
-const STALLED: Duration = Duration::from_secs(20);
+/// Requests of one connection that are answered at the same time; more wait unread. The first figure holds
+/// until it is known how long the answers are: together they may hold the third, as a part of the memory.
+const PIPELINE: (usize, usize, usize) = (16, 64, 16);
+/// A connection that has brought no whole command for so long after it was taken is closed. All three of
+/// these limits are points in time, which no dribbled byte moves.
+const FIRST: Duration = Duration::from_millis(2_200);
+/// A command must be whole so long after its first byte.
+const WHOLE: Duration = Duration::from_secs(2);
+/// An answer must be written so long after its turn has come.
+const WRITTEN: Duration = Duration::from_secs(4);
+/// A connection on which nothing is open may go after this long, where others wait for its place ...
+const SPARE: Duration = Duration::from_secs(2);
+/// ... and goes after this long in any case.
+const IDLE: Duration = Duration::from_secs(15);
+/// After an error that ends a connection, its client's input is read on for so long, and so much of it.
+const LINGER: (Duration, usize) = (Duration::from_millis(200), 256 * 1024);
+/// Input is read in pieces of this size; a command that is longer has to wait for memory.
+const PIECE: usize = 4096;
 /// The longest key, id and list of facts.
 const MAX_WORD: usize = 512;
+/// The longest wait that a client may state, in milliseconds, unless its class allows for a longer one.
+const MAX_WAIT_MS: f64 = 60_000.0;
 
 /// What all connections of clients share.
 pub struct Front {
@@ -36,18 +52,40 @@
     pub phase: watch::Receiver<Phase>,
     /// Connections that may still be taken, those for refusals included.
     pub room: Arc<Semaphore>,
-    /// How many of these are kept for refusals.
+    /// Places of the table that clients and servers share; connections to servers that stand idle give way.
+    pub table: Arc<Semaphore>,
+    /// How many of the places for clients are kept for refusals.
     pub refusals: usize,
     /// Wakes the connection that has been idle for longest, to give its place up.
     pub pressure: Notify,
-    /// Requests that may still be taken; one counts until its answer is passed on, which bounds memory.
+    /// Requests that may still be taken; one counts until its answer is passed on.
     pub open: Arc<Semaphore>,
+    /// What they and all else may hold.
+    pub memory: Memory,
+    /// Ids of the requests that are open.
+    pub ids: Arc<Mutex<HashSet<Bytes>>>,
+}
+
+/// An id while its request is open. Against a client that names another's: the second is not taken.
+struct Id(Bytes, Arc<Mutex<HashSet<Bytes>>>);
+
+impl Id {
+    fn claim(id: &Bytes, ids: &Arc<Mutex<HashSet<Bytes>>>) -> Option<Id> {
+        let new = ids.lock().unwrap_or_else(PoisonError::into_inner).insert(id.clone());
+        new.then(|| Id(id.clone(), ids.clone()))
+    }
+}
+
+impl Drop for Id {
+    fn drop(&mut self) {
+        self.1.lock().unwrap_or_else(PoisonError::into_inner).remove(&self.0);
+    }
 }
 
 impl Front {
     /// Whether only places for refusals are left.
     fn crowded(&self) -> bool {
-        self.room.available_permits() < self.refusals
+        self.room.available_permits().min(self.table.available_permits()) < self.refusals
     }
 }
 
@@ -94,7 +132,17 @@
     pub at: Micros,
     pub client: ClientId,
     pub slot: u64,
-    pub answers: mpsc::Sender<(u64, Bytes)>,
+    pub answers: mpsc::Sender<Answer>,
+    /// What the request holds of the memory, its value and that value on its way included.
+    pub share: Share,
+}
+
+/// An answer for one of a connection's slots, and what it holds of the memory.
+#[derive(Debug)]
+pub struct Answer {
+    pub slot: u64,
+    pub bytes: Bytes,
+    pub share: Option<Share>,
 }
 
 /// Takes connections until the node drains, then those that the machine has already taken.
@@ -107,6 +155,10 @@
             front.pressure.notify_one();
         }
         let Ok(permit) = front.room.clone().acquire_owned().await else { return };
+        if front.table.available_permits() == 0 {
+            let _ = front.hub.try_send(Input::Crowded);
+        }
+        let Ok(place) = front.table.clone().acquire_owned().await else { return };
         let draining = *phase.borrow() == Phase::Draining;
         let accepted = tokio::select! {
             biased;
@@ -123,7 +175,7 @@
                 if crowded {
                     front.pressure.notify_one();
                 }
-                tokio::spawn(serve(stream, front.clone(), next, crowded, permit));
+                tokio::spawn(serve(stream, front.clone(), next, crowded, (permit, place)));
             }
             // Out of descriptors, or the client has left: neither ends the node.
             Err(_) => tokio::time::sleep(Duration::from_millis(20)).await,
@@ -145,28 +197,35 @@
     front: Arc<Front>,
     client: ClientId,
     late: bool,
-    _permit: OwnedSemaphorePermit,
+    _places: (OwnedSemaphorePermit, OwnedSemaphorePermit),
 ) {
     let _ = stream.set_nodelay(true);
-    let (answers, answered) = mpsc::channel(PIPELINE + 1);
+    let (answers, answered) = mpsc::channel(PIPELINE.1 + 1);
+    let now = Instant::now();
     let mut session = Session {
         stream,
         client,
         answers,
         answered,
         input: BytesMut::new(),
-        output: BytesMut::new(),
+        long: None,
+        output: None,
         slots: VecDeque::new(),
         first: 0,
         broken: false,
         late,
+        longest: 0,
+        whole_by: Some(now + FIRST),
+        idle_since: now,
         front,
     };
     let ended = session.run().await;
-    if ended == Ended::Gone {
+    if session.slots.iter().any(|slot| slot.answer.is_none()) {
         let _ = session.front.hub.send(Input::ClientGone(client)).await;
-    } else if session.broken {
-        linger(&mut session.stream).await;
+    }
+    if ended == Ended::Closed && session.broken {
+        let Session { mut stream, .. } = session;
+        linger(&mut stream).await;
     }
 }
 
@@ -174,115 +233,192 @@
 /// could take the answer away from the client.
 async fn linger(stream: &mut TcpStream) {
     let _ = stream.shutdown().await;
-    let mut sink = [0u8; 4096];
+    let mut sink = vec![0u8; 16 * 1024];
     let rest = async {
-        for _ in 0..256 {
-            if !matches!(stream.read(&mut sink).await, Ok(count) if count > 0) {
-                return;
+        let mut left = LINGER.1;
+        while left > 0 {
+            match stream.read(&mut sink).await {
+                Ok(count) if count > 0 => left = left.saturating_sub(count),
+                _ => return,
             }
         }
     };
-    let _ = tokio::time::timeout(Duration::from_millis(500), rest).await;
+    let _ = tokio::time::timeout(LINGER.0, rest).await;
+}
+
+/// The place of one answer.
+#[derive(Default)]
+struct Slot {
+    /// `None` while it is owed.
+    answer: Option<(Bytes, Option<Share>)>,
+    /// Counts it among the open requests, and its id, until the answer has come.
+    #[expect(dead_code, reason = "held for its drop")]
+    open: Option<(OwnedSemaphorePermit, Id)>,
 }
 
-/// The place of one answer; `None` while it is owed. The permit counts it among the open requests.
-struct Slot(Option<Bytes>, #[expect(dead_code, reason = "held for its drop")] Option<OwnedSemaphorePermit>);
+/// An answer that is being written.
+struct Output {
+    bytes: Bytes,
+    by: Instant,
+    _share: Option<Share>,
+}
 
 struct Session {
     stream: TcpStream,
     client: ClientId,
-    answers: mpsc::Sender<(u64, Bytes)>,
-    answered: mpsc::Receiver<(u64, Bytes)>,
+    answers: mpsc::Sender<Answer>,
+    answered: mpsc::Receiver<Answer>,
     input: BytesMut,
-    output: BytesMut,
+    /// Memory for a long command.
+    long: Option<Share>,
+    output: Option<Output>,
     /// Answers in the order of their commands.
     slots: VecDeque<Slot>,
     /// Number of the first slot.
     first: u64,
-    /// The framing of the input is lost: nothing more is read.
+    /// No more is read: the framing of the input is lost, or a time limit has passed.
     broken: bool,
     /// It came when there were only places for refusals left.
     late: bool,
+    /// Its longest answer so far.
+    longest: usize,
+    /// When the command that is awaited must be whole; `None` where none has begun.
+    whole_by: Option<Instant>,
+    /// Since when nothing is owed.
+    idle_since: Instant,
     front: Arc<Front>,
 }
 
 impl Session {
     async fn run(&mut self) -> Ended {
         let mut phase = self.front.phase.clone();
+        let memory = self.front.memory.clone();
         loop {
-            while !self.broken && self.slots.len() < PIPELINE && self.output.len() < OUT_LIMIT {
-                match resp::take_command(&mut self.input) {
-                    Ok(Some(words)) => self.command(words).await,
-                    Ok(None) => break,
-                    Err(resp::Malformed(what)) => {
-                        self.answer_now(format!("-ERR protocol error: {what}\r\n"));
-                        self.broken = true;
-                    }
-                }
-            }
-            while self.output.len() < OUT_LIMIT && self.slots.front().is_some_and(|slot| slot.0.is_some()) {
-                let answer = self.slots.pop_front().and_then(|slot| slot.0).unwrap_or_default();
+            self.take_commands().await;
+            if self.output.is_none()
+                && let Some((bytes, _share)) = self.slots.front_mut().and_then(|slot| slot.answer.take())
+            {
+                self.slots.pop_front();
                 self.first += 1;
-                self.output.extend_from_slice(&answer);
-            }
-            let owes = !self.slots.is_empty() || !self.output.is_empty();
-            let draining = *phase.borrow() == Phase::Draining;
-            let reading = !self.broken && self.slots.len() < PIPELINE && self.output.len() < OUT_LIMIT;
-            if !owes && self.broken {
-                return Ended::Closed;
+                self.output = Some(Output { bytes, by: Instant::now() + WRITTEN, _share });
             }
-            let between = !owes && self.input.is_empty();
-            let half = !self.output.is_empty() || (self.slots.is_empty() && !self.input.is_empty());
-            if !self.output.is_empty() {
-                match self.stream.try_write(&self.output) {
+            if let Some(output) = &mut self.output {
+                match self.stream.try_write(&output.bytes) {
+                    Ok(count) if count == output.bytes.len() => {
+                        self.output = None;
+                        self.idle_since = Instant::now();
+                        continue;
+                    }
                     Ok(count) => {
-                        let _ = self.output.split_to(count);
+                        let _ = output.bytes.split_to(count);
                         continue;
                     }
                     Err(e) if e.kind() == std::io::ErrorKind::WouldBlock => {}
                     Err(_) => return Ended::Gone,
                 }
             }
-            if self.output.is_empty() {
-                // The room that a large answer took is given back.
-                self.output = BytesMut::new();
+            let owes = !self.slots.is_empty() || self.output.is_some();
+            if !owes && self.broken {
+                return Ended::Closed;
             }
+            let draining = *phase.borrow() == Phase::Draining;
+            let room = !self.broken && self.slots.len() < self.pipeline() && self.output.is_none();
+            if !room && self.whole_by.is_some() {
+                // While nothing is read the rest of a command can't come.
+                self.whole_by = Some(Instant::now() + WHOLE);
+            }
+            // Against commands that together are longer than the memory: the long ones wait their turn, with
+            // the client's own buffers, and those that wait too long are turned away.
+            let long = self.input.len() >= PIECE && self.long.is_none();
+            let between = !owes && self.input.is_empty();
+            let spare_at = self.idle_since + SPARE;
+            let spare = between && self.first > 0 && Instant::now() >= spare_at;
+            let by = self.output.as_ref().map(|output| output.by);
+            let whole_by = self.whole_by.filter(|_| room);
             tokio::select! {
                 biased;
                 answer = self.answered.recv() => {
-                    if let Some((slot, bytes)) = answer
+                    self.longest = answer.as_ref().map_or(0, |a| a.bytes.len()).max(self.longest);
+                    if let Some(Answer { slot, bytes, share }) = answer
                         && let Some(place) = self.slots.get_mut(slot.saturating_sub(self.first) as usize)
                     {
-                        place.0 = Some(bytes);
+                        *place = Slot { answer: Some((bytes, share)), open: None };
                     }
                 }
-                ready = self.stream.readable(), if reading => {
+                ready = self.stream.readable(), if room && !long => {
                     if ready.is_err() {
                         return Ended::Gone;
                     }
-                    self.input.reserve(4096);
+                    let empty = self.input.is_empty();
+                    self.input.reserve(PIECE);
                     match self.stream.try_read_buf(&mut self.input) {
                         Ok(0) => return Ended::Gone,
+                        Ok(_) if empty && self.whole_by.is_none() => {
+                            self.whole_by = Some(Instant::now() + WHOLE);
+                        }
                         Ok(_) => {}
                         Err(e) if e.kind() == std::io::ErrorKind::WouldBlock => {}
                         Err(_) => return Ended::Gone,
                     }
                 }
-                ready = self.stream.writable(), if !self.output.is_empty() => {
+                share = memory.wait(2 * resp::MAX_VALUE), if room && long => self.long = Some(share),
+                ready = self.stream.writable(), if self.output.is_some() => {
                     if ready.is_err() {
                         return Ended::Gone;
                     }
                 }
                 _ = phase.changed(), if !draining => {}
                 () = std::future::ready(()), if draining && between => return Ended::Closed,
-                () = self.front.pressure.notified(), if between && self.first > 0 => return Ended::Closed,
-                () = tokio::time::sleep(STALLED), if half => return Ended::Gone,
+                () = self.front.pressure.notified(), if spare => return Ended::Closed,
+                () = until(whole_by), if whole_by.is_some() => {
+                    // Against clients that say nothing or leave a command half said: they hold a place that
+                    // others want. What was whole before is still answered.
+                    self.broken = true;
+                    self.answer_now("-ERR no whole command in time\r\n");
+                }
+                () = until(by), if by.is_some() => return Ended::Gone,
+                () = sleep_until(spare_at), if between && !spare && self.first > 0 => {}
+                () = sleep_until(self.idle_since + IDLE), if spare => return Ended::Closed,
             }
         }
     }
 
+    /// How many requests may be open at once. Against a client that takes no answers: it must not hold the
+    /// memory that others need.
+    fn pipeline(&self) -> usize {
+        match self.longest {
+            0 => PIPELINE.0,
+            longest => (self.front.memory.all() / PIPELINE.2 / longest).clamp(1, PIPELINE.1),
+        }
+    }
+
+    /// Takes the commands that are whole. The limit on one that is not runs from its first byte.
+    async fn take_commands(&mut self) {
+        while !self.broken
+            && self.slots.len() < self.pipeline()
+            && self.output.is_none()
+            && !self.input.is_empty()
+        {
+            match resp::take_command(&mut self.input) {
+                Ok(Some(words)) => {
+                    self.whole_by = (!self.input.is_empty()).then(|| Instant::now() + WHOLE);
+                    self.command(words).await;
+                }
+                Ok(None) => return,
+                Err(resp::Malformed(what)) => {
+                    self.answer_now(format!("-ERR protocol error: {what}\r\n"));
+                    self.broken = true;
+                }
+            }
+        }
+        if self.input.is_empty() || self.broken {
+            // The room that a long command took is given back.
+            (self.input, self.long) = (BytesMut::new(), None);
+        }
+    }
+
     fn answer_now(&mut self, answer: impl Into<Bytes>) {
-        self.slots.push_back(Slot(Some(answer.into()), None));
+        self.slots.push_back(Slot { answer: Some((answer.into(), None)), open: None });
     }
 
     async fn command(&mut self, words: Vec<Bytes>) {
@@ -311,56 +447,93 @@
                     return self.answer_now("-BUSY\r\n");
                 }
                 self.late = false;
+                let Some(id) = Id::claim(&command.id, &self.front.ids) else {
+                    return self.answer_now("-ERR a request with this id is open\r\n");
+                };
                 // Forced by memory: a request that finds the table full is turned away, and was never sent.
-                let Ok(permit) = self.front.open.clone().try_acquire_owned() else {
+                let value = command.value.as_ref().map_or(0, Bytes::len);
+                let Some((permit, share)) = self.front.open.clone().try_acquire_owned().ok().zip(
+                    // The value, and the same on its way to the origin.
+                    self.front.memory.try_take(PIECE + 2 * value),
+                ) else {
                     return self.answer_now("-BUSY\r\n");
                 };
                 let slot = self.first + self.slots.len() as u64;
-                self.slots.push_back(Slot(None, Some(permit)));
+                self.slots.push_back(Slot { answer: None, open: Some((permit, id)) });
                 let (client, answers) = (self.client, self.answers.clone());
-                let asked = Box::new(Asked { command, at, client, slot, answers });
+                let asked = Box::new(Asked { command, at, client, slot, answers, share });
                 let _ = self.front.hub.send(Input::Asked(asked)).await;
             }
         }
     }
 }
 
-/// Reads a command's words.
+/// Waits until a point in time; for ever where there is none.
+async fn until(at: Option<Instant>) {
+    match at {
+        Some(at) => sleep_until(at).await,
+        None => std::future::pending().await,
+    }
+}
+
+/// Reads a command's words. Against requests that mean nothing, or one thing here and another at a server:
+/// each fact stands there once, and those that are known can be read.
 fn parse(words: &[Bytes], write: bool, deployment: &Deployment) -> Result<Command, &'static str> {
     if words.len() != if write { 5 } else { 4 } {
         return Err("wrong number of arguments");
     }
     // What goes on to a server must not break its framing there.
-    let plain = |word: &Bytes| word.len() <= MAX_WORD && word.iter().all(u8::is_ascii_graphic);
-    if !words[1..4].iter().all(plain) || words[1].is_empty() || words[2].is_empty() {
+    let plain =
+        |word: &Bytes| !word.is_empty() && word.len() <= MAX_WORD && word.iter().all(u8::is_ascii_graphic);
+    if !words[1..4].iter().all(plain) {
         return Err("invalid key, id or facts");
     }
     let facts = String::from_utf8_lossy(&words[3]).into_owned();
-    let (mut class, mut tenant, mut wait) = (None, None, None);
+    let (mut class, mut tenant, mut wait, mut keyed) = (None, None, None, false);
     let mut command = Command { write, key: words[1].clone(), id: words[2].clone(), ..Command::default() };
-    for fact in facts.split(',').filter(|fact| !fact.is_empty()) {
+    let mut seen: Vec<&str> = Vec::new();
+    for fact in facts.split(',') {
         let (name, value) = fact.split_once('=').ok_or("invalid facts")?;
+        if name.is_empty() || seen.contains(&name) {
+            return Err("a fact without a name or given twice");
+        }
+        seen.push(name);
         let place = |names: &[String]| names.iter().position(|known| known == value);
         match name {
             "c" => class = Some(place(&deployment.classes).ok_or("unknown class")?),
             "t" if !deployment.tenants.is_empty() => {
                 tenant = Some(place(&deployment.tenants).ok_or("unknown tenant")?)
             }
-            "d" => {
-                let ms: f64 = value.parse().map_err(|_| "invalid d")?;
-                wait = Some((ms * 1e3) as Micros);
-            }
-            "r" => command.repeat = value == "1",
-            "h" => command.cost = value.parse().ok(),
-            "size" => command.size = value.parse().unwrap_or(0.0),
+            "d" => wait = Some(number(value).ok_or("invalid d")?),
+            "k" => keyed = !value.is_empty(),
+            "r" => command.repeat = matches!(value, "0" | "1").then_some(value == "1").ok_or("invalid r")?,
+            "h" => command.cost = Some(number(value).ok_or("invalid h")? as Micros),
+            "size" => command.size = number(value).ok_or("invalid size")? as f32,
             _ => {}
         }
     }
     command.class = class.ok_or("no class")?;
+    if tenant.is_none() && !deployment.tenants.is_empty() {
+        return Err("no tenant");
+    }
     command.tenant = tenant.unwrap_or(0);
-    let deadline = deployment.settings.classes[command.class].deadline;
-    command.time_left = wait.unwrap_or(deadline).min(60_000_000);
+    let class = &deployment.settings.classes[command.class];
+    if write && matches!(class.effect, Effect::Keyed { .. }) && !keyed {
+        return Err("no k for a keyed write");
+    }
+    let wait = wait.ok_or("no d")?;
+    if wait > MAX_WAIT_MS.max(class.deadline as f64 / 1e3) {
+        return Err("invalid d");
+    }
+    // Nobody waits for longer than the class allows for, whatever is said.
+    command.time_left = ((wait * 1e3) as Micros).min(class.deadline);
     command.value = words.get(4).cloned();
     command.facts = facts;
     Ok(command)
 }
+
+/// A plain decimal number: no sign, no exponent, no word such as `nan`.
+fn number(text: &str) -> Option<f64> {
+    let plain = text.bytes().all(|byte| byte.is_ascii_digit() || byte == b'.');
+    text.parse().ok().filter(|number: &f64| plain && text.len() <= 16 && number.is_finite())
+}
--- a/src/bin/spardeal-node/config.rs
+++ b/src/bin/spardeal-node/config.rs
@@ -19,6 +19,8 @@
     pub seed: u64,
     /// Sockets that the node may hold, all counted.
     pub sockets: usize,
+    /// Memory that the node may have in all, in megabytes.
+    pub memory_mb: usize,
     /// The list of servers as this node last had it.
     pub known: Listing,
     /// The settings.
@@ -74,17 +76,21 @@
 #[serde(default)]
 struct Limits {
     sockets: usize,
+    memory_mb: usize,
 }
 
 impl Default for Limits {
     fn default() -> Self {
-        Limits { sockets: 1024 }
+        Limits { sockets: 1024, memory_mb: 192 }
     }
 }
 
 /// Fewer sockets than this leave no room for clients and servers beside the node's own.
 const LEAST_SOCKETS: usize = 32;
 
+/// Less memory than this leaves no room beside the program itself.
+const LEAST_MEMORY_MB: usize = 16;
+
 impl Config {
     /// Reads the configuration that the environment names, at the start.
     pub fn from_env() -> Result<Config, ConfigError> {
@@ -111,6 +117,9 @@
         if file.limits.sockets < LEAST_SOCKETS {
             return Err(ConfigError::Field("limits.sockets", file.limits.sockets.to_string()));
         }
+        if file.limits.memory_mb < LEAST_MEMORY_MB {
+            return Err(ConfigError::Field("limits.memory_mb", file.limits.memory_mb.to_string()));
+        }
         let discovery = match var("ROUTER_DISCOVERY") {
             Some(at_start) if !again || file.discovery.is_empty() => at_start,
             _ => file.discovery,
@@ -121,6 +130,7 @@
             discovery: address("discovery", discovery)?,
             seed: seed.unwrap_or_else(|_| xxh3_64(file.seed.as_bytes())),
             sockets: file.limits.sockets.min(1024),
+            memory_mb: file.limits.memory_mb,
             known: file.known.unwrap_or_default(),
             deployment,
         })
--- a/src/bin/spardeal-node/main.rs
+++ b/src/bin/spardeal-node/main.rs
@@ -6,6 +6,7 @@
 mod config;
 mod discovery;
 mod http;
+mod memory;
 mod node;
 mod origin;
 mod resp;
@@ -21,11 +22,12 @@
 
 use clients::{Front, Phase};
 use config::Config;
+use memory::Memory;
 use node::{Clock, Input, Node};
 
 /// What waits between the connections and the node's loop.
 const INPUTS: usize = 1024;
-/// Requests taken and not yet answered; each may hold a value of 64 KiB.
+/// Requests taken and not yet answered.
 const MAX_OPEN: usize = 1024;
 /// Sockets kept back for the listener, discovery and the runtime, and for those just being closed.
 const RESERVE: usize = 16;
@@ -39,24 +41,30 @@
     let (hub, inputs) = mpsc::channel(INPUTS);
     let (phase_set, phase) = watch::channel(Phase::Starting);
     let clock = Clock::start();
-    // The table of sockets is shared out beforehand: clients have one half, servers the other.
-    let part = (config.sockets - RESERVE.min(config.sockets / 2)) / 2;
-    let room = Arc::new(Semaphore::new(part));
+    // Clients and servers share the table of sockets; neither can take more of it than leaves the others a
+    // third at the least.
+    let places = config.sockets - (RESERVE + config.sockets / 32).min(config.sockets / 2);
+    let part = places * 2 / 3;
+    let (table, room) = (Arc::new(Semaphore::new(places)), Arc::new(Semaphore::new(part)));
     let mut terms = [signal(SignalKind::terminate())?, signal(SignalKind::interrupt())?];
     let mut hangup = signal(SignalKind::hangup())?;
     let listener = TcpListener::bind(config.listen).await?;
     log(&format!("listening on {}", listener.local_addr()?));
     let deployment = Arc::new(config.deployment.clone());
     let open = Arc::new(Semaphore::new(deployment.max_open.min(MAX_OPEN)));
+    let memory = Memory::new(config.memory_mb);
     let front = Front {
         deployment: deployment.clone(),
         clock,
         hub: hub.clone(),
         phase,
         room: room.clone(),
+        table: table.clone(),
         refusals: (part / 8).max(1),
         pressure: Notify::new(),
         open,
+        memory: memory.clone(),
+        ids: Arc::default(),
     };
     tokio::spawn(clients::listen(listener, Arc::new(front)));
     let signals = hub.clone();
@@ -76,7 +84,7 @@
         }
     });
     let idle = move || room.available_permits() >= part - 1;
-    Node::new(config, deployment, clock, hub, part).run(inputs, phase_set, idle).await;
+    Node::new(config, deployment, clock, hub, (part, table), memory).run(inputs, phase_set, idle).await;
     Ok(())
 }
 
--- a/src/bin/spardeal-node/node.rs
+++ b/src/bin/spardeal-node/node.rs
@@ -13,12 +13,13 @@
     Action, Condition, Event, ListKind, Load, Micros, Note, Outcome, Policy, Request, RequestId, ServerId,
     ServerLine, Status,
 };
-use tokio::sync::{mpsc, watch};
+use tokio::sync::{Semaphore, mpsc, watch};
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::clients::{Asked, ClientId, Command, Phase};
+use crate::clients::{Answer, Asked, ClientId, Command, Phase};
 use crate::config::Config;
 use crate::discovery::{Discovery, Era, Listing};
+use crate::memory::{Memory, Share};
 use crate::upstreams::{AttemptKey, ConnId, News, Pool, Reply, Speech};
 use crate::{caches, log, origin, resp};
 
@@ -35,6 +36,8 @@
     List(Era, Listing),
     /// A call to discovery failed, or the watch broke.
     ListFailed(Era),
+    /// The table of sockets is full, and a client wants a place.
+    Crowded,
     /// The configuration was read anew.
     Reload(Box<Config>),
     /// The platform asks the node to end.
@@ -100,7 +103,9 @@
     command: Command,
     client: ClientId,
     slot: u64,
-    answers: mpsc::Sender<(u64, Bytes)>,
+    answers: mpsc::Sender<Answer>,
+    /// Held while there is something to send.
+    share: Option<Share>,
     ends: Micros,
     sent: u16,
     /// Attempts without an outcome.
@@ -126,6 +131,7 @@
     next: RequestId,
     servers: HashMap<ServerId, Server>,
     pool: Pool,
+    memory: Memory,
     discovery: Discovery,
     known: Option<Listing>,
     ends_at: Option<Micros>,
@@ -138,7 +144,8 @@
         deployment: Arc<Deployment>,
         clock: Clock,
         hub: mpsc::Sender<Input>,
-        conns: usize,
+        table: (usize, Arc<Semaphore>),
+        memory: Memory,
     ) -> Self {
         Node {
             clock,
@@ -149,7 +156,8 @@
             attempts: HashMap::new(),
             next: 1,
             servers: HashMap::new(),
-            pool: Pool::new(conns, deployment.clone(), hub.clone()),
+            pool: Pool::new(table, deployment.clone(), memory.clone(), hub.clone()),
+            memory,
             discovery: Discovery::new(config.discovery, config.known.index, hub),
             known: Some(config.known),
             ends_at: None,
@@ -225,6 +233,7 @@
             // Against what the discovery before the present one still had under way: its versions and its view
             // are no longer in force.
             Input::List(era, _) | Input::ListFailed(era) if !self.discovery.present(era) => {}
+            Input::Crowded => self.pool.drop_one_idle(),
             Input::Reload(config) => self.reload(&config),
             Input::List(_, listing) => self.list(listing, None),
             Input::ListFailed(_) => {
@@ -324,7 +333,7 @@
     // Requests.
 
     fn asked(&mut self, asked: Asked) {
-        let Asked { command, at, client, slot, answers } = asked;
+        let Asked { command, at, client, slot, answers, share } = asked;
         let id = self.next;
         self.next += 1;
         // What the request waited within the node is part of its time.
@@ -340,7 +349,8 @@
             cost: command.cost,
             size: command.size,
         };
-        let open = Open { command, client, slot, answers, ends, sent: 0, out: 0, over: false };
+        let share = Some(share);
+        let open = Open { command, client, slot, answers, share, ends, sent: 0, out: 0, over: false };
         self.open.insert(id, open);
         self.timers.push(Reverse((ends, Due::Deadline(id))));
         self.tell(Event::Request(request));
@@ -349,8 +359,13 @@
     /// Gives the final answer, the first only.
     fn answer(&mut self, id: RequestId, answer: Bytes) {
         let Some(open) = self.open.get(&id).filter(|open| !open.over) else { return };
+        // Forced by memory: an answer that there is no room for is not passed on, and tells as much.
+        let (bytes, share) = match self.memory.try_take(answer.len()) {
+            Some(share) => (answer, Some(share)),
+            None => (Bytes::from_static(b"-ERR failed\r\n"), None),
+        };
         // There is room for every answer that a connection is owed; one that has ended takes none.
-        let _ = open.answers.try_send((open.slot, answer));
+        let _ = open.answers.try_send(Answer { slot: open.slot, bytes, share });
         self.close_request(id);
     }
 
@@ -358,7 +373,7 @@
     fn close_request(&mut self, id: RequestId) {
         let Some(open) = self.open.get_mut(&id) else { return };
         open.over = true;
-        open.command.value = None;
+        (open.command.value, open.share) = (None, None);
         if open.out == 0 {
             self.open.remove(&id);
         }
--- a/src/bin/spardeal-node/resp.rs
+++ b/src/bin/spardeal-node/resp.rs
@@ -38,8 +38,9 @@
     let mut scan = Scan { bytes: buffer, at: 0 };
     let Some(words) = scan.command()? else { return Ok(None) };
     let end = scan.at;
-    let whole = buffer.split_to(end).freeze();
-    Ok(Some(words.into_iter().map(|(from, to)| whole.slice(from..to)).collect()))
+    // Each word is a copy of its own: together they would hold the whole buffer for as long as one lives.
+    let whole = buffer.split_to(end);
+    Ok(Some(words.into_iter().map(|(from, to)| Bytes::copy_from_slice(&whole[from..to])).collect()))
 }
 
 /// Takes one whole answer off the front; `None` while it is not all there.
@@ -106,7 +107,9 @@
     fn command(&mut self) -> Result<Option<Vec<(usize, usize)>>, Malformed> {
         let count = match self.length(b'*', MAX_WORDS)? {
             None => return Ok(None),
-            Some(count) => count.unwrap_or(0),
+            // Against floods of commands that say nothing and are cheap to send.
+            Some(None | Some(0)) => return Err(Malformed("empty command")),
+            Some(Some(count)) => count,
         };
         let mut words = Vec::with_capacity(count);
         for _ in 0..count {
--- a/src/bin/spardeal-node/upstreams.rs
+++ b/src/bin/spardeal-node/upstreams.rs
@@ -11,10 +11,12 @@
 use spardeal::{Load, Micros, Note, RequestId, ServerId, Status};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
-use tokio::sync::mpsc;
+use tokio::sync::{OwnedSemaphorePermit, Semaphore, mpsc};
 use tokio::task::AbortHandle;
 
+use crate::memory::Memory;
 use crate::node::Input;
+use crate::resp::MAX_VALUE;
 use crate::{caches, origin};
 
 /// An answer that has begun and brings nothing more for so long will not be whole.
@@ -74,6 +76,7 @@
     attempt: Option<AttemptKey>,
     idle_since: Micros,
     carried: u64,
+    _place: OwnedSemaphorePermit,
 }
 
 impl Conn {
@@ -97,19 +100,26 @@
     idle: HashMap<ServerId, Vec<ConnId>>,
     next: ConnId,
     limit: usize,
+    table: Arc<Semaphore>,
     idle_limit: Micros,
     deployment: Arc<Deployment>,
+    memory: Memory,
     hub: mpsc::Sender<Input>,
 }
 
 impl Pool {
-    /// A pool of at most `limit` connections.
-    pub fn new(limit: usize, deployment: Arc<Deployment>, hub: mpsc::Sender<Input>) -> Self {
+    /// A pool of at most so many connections, in places of a table that others use too.
+    pub fn new(
+        (limit, table): (usize, Arc<Semaphore>),
+        deployment: Arc<Deployment>,
+        memory: Memory,
+        hub: mpsc::Sender<Input>,
+    ) -> Self {
         // Well before the server closes it: a request written to a closed connection ends as a reset, which
         // may have run and so may not be sent again.
         let idle_limit = deployment.idle_close / 2;
         let (conns, idle) = (HashMap::new(), HashMap::new());
-        Pool { conns, idle, next: 1, limit, idle_limit, deployment, hub }
+        Pool { conns, idle, next: 1, limit, table, idle_limit, deployment, memory, hub }
     }
 
     /// An idle connection to a server for an attempt, if there is one.
@@ -139,23 +149,25 @@
         speech: Speech,
         attempt: AttemptKey,
     ) -> Option<ConnId> {
-        if self.conns.len() >= self.limit {
+        if self.conns.len() >= self.limit || self.table.available_permits() == 0 {
             self.drop_one_idle();
         }
         if self.conns.len() >= self.limit {
             return None;
         }
+        let _place = self.table.clone().try_acquire_owned().ok()?;
         let id = self.next;
         self.next += 1;
         let (jobs, take) = mpsc::channel(1);
-        let (hub, deployment) = (self.hub.clone(), self.deployment.clone());
+        let (hub, deployment, memory) = (self.hub.clone(), self.deployment.clone(), self.memory.clone());
         let task = tokio::spawn(async move {
-            let mut link = Link { id, speech, deployment, jobs: take, hub };
+            let mut link = Link { id, speech, deployment, memory, jobs: take, hub };
             let news = link.run(address).await;
             let _ = link.hub.send(Input::Conn(id, news)).await;
         });
         let task = task.abort_handle();
-        let conn = Conn { server, address, jobs, task, attempt: Some(attempt), idle_since: 0, carried: 0 };
+        let conn =
+            Conn { server, address, jobs, task, attempt: Some(attempt), idle_since: 0, carried: 0, _place };
         self.conns.insert(id, conn);
         Some(id)
     }
@@ -219,7 +231,8 @@
         });
     }
 
-    fn drop_one_idle(&mut self) {
+    /// Closes the connection that has been idle for longest.
+    pub fn drop_one_idle(&mut self) {
         let oldest = self.idle.values().filter_map(|ids| ids.first());
         let oldest = oldest.min_by_key(|id| self.conns.get(id).map_or(0, |conn| conn.idle_since)).copied();
         oldest.into_iter().for_each(|id| self.close(id));
@@ -231,6 +244,7 @@
     id: ConnId,
     speech: Speech,
     deployment: Arc<Deployment>,
+    memory: Memory,
     jobs: mpsc::Receiver<Bytes>,
     hub: mpsc::Sender<Input>,
 }
@@ -263,6 +277,7 @@
                 return News::Lost { written: false };
             }
             drop(job);
+            let mut share = None;
             let reply = loop {
                 // The rest of an answer comes with its beginning. Against lines and values that never end: one
                 // that stands still half told is spoilt, and its request can still go elsewhere.
@@ -276,6 +291,10 @@
                     Ok(None) => {}
                     Err(Broken) => return News::Spoilt,
                 }
+                // Against long answers that together are more than the memory: they wait their turn.
+                if buffer.len() > 4096 && share.is_none() {
+                    share = Some(self.memory.wait(2 * MAX_VALUE).await);
+                }
                 buffer.reserve(2048);
                 match tokio::time::timeout(patience, stream.read_buf(&mut buffer)).await {
                     Ok(Ok(count)) if count > 0 => {}
--- a/tests/node/main.rs
+++ b/tests/node/main.rs
@@ -85,7 +85,15 @@
     let (discovery, _say, _calls) = quiet();
     let node = Node::start(discovery, &pair(cache.address, origin.address));
     let mut other = node.client();
-    for bad in [&b"GET / HTTP/1.1\r\n\r\n"[..], b"*2\r\n$99999999\r\n", b"*-5\r\n", b"*1\r\n$2\r\nabcd\r\n"] {
+    let flood = b"*0\r\n".repeat(20);
+    for bad in [
+        &b"GET / HTTP/1.1\r\n\r\n"[..],
+        &flood[..],
+        b"*-1\r\n",
+        b"*2\r\n$99999999\r\n",
+        b"*-5\r\n",
+        b"*1\r\n$2\r\nabcd\r\n",
+    ] {
         let mut client = node.client();
         client.send(&get("aa", "1"));
         client.send(bad);
@@ -103,6 +111,125 @@
     }
 }
 
+#[test]
+fn a_command_whose_facts_mean_nothing_is_an_error_and_nothing_is_sent_on() {
+    let cache = cache(|words| Act::Say(hit(&words[1])));
+    let origin = no_origin();
+    let (discovery, _say, _calls) = quiet();
+    let settings = settings().replace("side_effect", "token");
+    let node = Node::start_in(discovery, &pair(cache.address, origin.address), 256, "", &settings);
+    let mut client = node.client();
+    for facts in [
+        "c=read,t=acme",
+        "c=read,d=100",
+        "t=acme,d=100",
+        "c=read,t=nobody,d=100",
+        "c=read,t=acme,d=nan",
+        "c=read,t=acme,d=inf",
+        "c=read,t=acme,d=-5",
+        "c=read,t=acme,d=1e3",
+        "c=read,t=acme,d=",
+        "c=read,t=acme,d=99999999999",
+        "c=read,t=acme,d=100,d=200",
+        "c=read,c=put,t=acme,d=100",
+        "c=read,t=acme,d=100,r=yes",
+        "c=read,t=acme,d=100,h=-1",
+        "c=read,t=acme,d=100,size=NaN",
+        "c=read,t=acme,d=100,what",
+        "c=read,,t=acme,d=100",
+        "",
+    ] {
+        let answer = client.ask(&command(&["OBJ.GET", "bad", "1", facts])).unwrap();
+        assert!(answer.starts_with("-ERR"), "{facts}: {answer}");
+    }
+    let without_k = command(&["OBJ.SET", "bad", "1", "c=put,t=acme,d=100", "v"]);
+    assert!(client.ask(&without_k).unwrap().starts_with("-ERR"));
+    assert!(
+        client.ask(&command(&["OBJ.GET", "bad", "", "c=read,t=acme,d=100"])).unwrap().starts_with("-ERR")
+    );
+    let usual = command(&["OBJ.GET", "good", "1", "c=read,t=acme,d=480.5,r=1,h=1200,size=10.5,new=1"]);
+    assert_eq!(client.ask(&usual).unwrap(), "good");
+    assert_eq!(cache.next().words[1], "good", "the only one that went on");
+}
+
+#[test]
+fn the_id_of_another_clients_open_request_is_not_taken() {
+    let (go, wait) = channel();
+    let wait = Arc::new(Mutex::new(Some(wait)));
+    let cache = cache(move |words| match wait.lock().unwrap().take() {
+        Some(wait) => Act::SayAfter(wait, hit("mine")),
+        None => Act::Say(hit(&words[1])),
+    });
+    let origin = no_origin();
+    let (discovery, _say, _calls) = quiet();
+    let node = Node::start(discovery, &pair(cache.address, origin.address));
+    let mut client = node.client();
+    client.send(&get("aa", "7"));
+    cache.next();
+    let mut other = node.client();
+    assert!(other.ask(&get("aa", "7")).unwrap().starts_with("-ERR"));
+    assert_eq!(other.ask(&get("bb", "8")).unwrap(), "bb", "the next that reaches the server");
+    assert_eq!(cache.next().words[2], "8");
+    go.send(()).unwrap();
+    assert_eq!(client.answer().unwrap(), "mine");
+    assert_eq!(other.ask(&get("cc", "7")).unwrap(), "cc", "an id is free when its request has its answer");
+}
+
+#[test]
+fn clients_that_say_nothing_or_half_a_command_give_their_places_back_in_time() {
+    let cache = cache(|words| Act::Say(hit(&words[1])));
+    let origin = no_origin();
+    let (discovery, _say, _calls) = quiet();
+    let node = Node::start_with(discovery, &pair(cache.address, origin.address), 64, "");
+    let mut kept = node.client();
+    assert_eq!(kept.ask(&get("aa", "1")).unwrap(), "aa");
+    let begun = std::time::Instant::now();
+    // More than the table holds, so that the last of them wait with the machine.
+    let mut silent: Vec<_> = (0..40).map(|_| node.client()).collect();
+    let mut dribbles = silent.pop().unwrap().out;
+    let dribble = std::thread::spawn(move || {
+        let bytes = get("aa", "2");
+        let took = bytes.chunks(1).take_while(|byte| {
+            std::thread::sleep(Duration::from_millis(100));
+            begun.elapsed() < LONG && dribbles.write_all(byte).is_ok()
+        });
+        took.count() < bytes.len()
+    });
+    std::thread::sleep(Duration::from_millis(500));
+    assert_eq!(kept.ask(&get("bb", "3")).unwrap(), "bb", "a client that is known is still served");
+    for client in &mut silent {
+        assert!(client.answer().is_none_or(|line| line.starts_with("-ERR")), "told or closed");
+        assert!(begun.elapsed() > Duration::from_millis(1_900) && begun.elapsed() < LONG / 2);
+    }
+    assert_eq!(node.client().ask(&get("cc", "4")).unwrap(), "cc", "and there is room again");
+    assert!(dribble.join().unwrap(), "bytes that trickle move no limit");
+}
+
+#[test]
+fn half_sent_values_hold_no_more_memory_than_there_is() {
+    let cache = cache(|_| Act::Say(miss()));
+    let origin = origin(|_| Act::Say(http(200, "", "ok")));
+    let (discovery, _say, _calls) = quiet();
+    let node = Node::start_with(discovery, &pair(cache.address, origin.address), 512, "");
+    let long = put("aa", "1", &"v".repeat(64 * 1024));
+    let mut clients: Vec<_> = (0..250).map(|_| node.client()).collect();
+    clients.iter().for_each(|client| {
+        let mut out = client.out.try_clone().unwrap();
+        out.set_write_timeout(Some(Duration::from_millis(20))).unwrap();
+        let _ = out.write_all(&long[..long.len() - 100]);
+    });
+    let most = (0..20).map(|_| {
+        std::thread::sleep(Duration::from_millis(20));
+        node.resident_kib()
+    });
+    let most = most.max().unwrap();
+    assert!(most < 16 * 1024, "{most} KiB of the 16 MiB that it may have");
+    let told = clients.iter_mut().take(20).map(|client| client.answer());
+    assert!(told.into_iter().all(|line| line.is_none_or(|line| line.starts_with('-'))));
+    drop(clients);
+    assert_eq!(node.client().ask(&put("bb", "2", &"v".repeat(64 * 1024))).unwrap(), "ok");
+}
+
 #[test]
 fn an_unsafe_write_whose_connection_breaks_after_its_last_byte_fails_and_is_not_sent_again() {
     let cache = cache(|_| Act::Say(miss()));
@@ -486,13 +613,13 @@
     let origin = no_origin();
     let (discovery, _say, _calls) = quiet();
     let node = Node::start_with(discovery, &pair(cache.address, origin.address), 64, "");
-    let minute = command(&["OBJ.GET", "aa", "1", "c=read,t=acme,d=60000"]);
+    let minute = |id: &str| command(&["OBJ.GET", "aa", id, "c=read,t=acme,d=60000"]);
     // More than there are places that are not for refusals.
-    let mut busy: Vec<_> = (0..23).map(|_| node.client()).collect();
-    busy.iter_mut().for_each(|client| client.send(&minute));
+    let mut busy: Vec<_> = (0..28).map(|_| node.client()).collect();
+    busy.iter_mut().enumerate().for_each(|(id, client)| client.send(&minute(&id.to_string())));
     for _ in 0..20 {
         let mut late = node.client();
-        assert_eq!(late.ask(&minute).unwrap(), "-BUSY");
+        assert_eq!(late.ask(&minute("late")).unwrap(), "-BUSY");
         assert_eq!(late.answer(), None, "and its place is free again");
     }
 }
@@ -539,7 +666,7 @@
         std::thread::spawn(move || (0..200).try_for_each(|id| out.write_all(&get("aa", &id.to_string()))));
     let mut other = node.client();
     // The module may refuse while the one server looks full; a stalled node would say nothing at all.
-    let served = (0..100_000).filter(|id| other.ask(&get("bb", &id.to_string())).unwrap().len() == 60_000);
+    let served = (0..100_000).filter(|id| other.ask(&get("bb", &format!("o{id}"))).unwrap().len() == 60_000);
     assert_eq!(served.take(5).count(), 5);
     for _ in 0..200 {
         let answer = slow.answer().unwrap();
--- a/tests/node/stand_in.rs
+++ b/tests/node/stand_in.rs
@@ -269,9 +269,15 @@
         Node::start_in(discovery, known, 256, "", &settings)
     }
 
-    fn start_in(discovery: SocketAddr, known: &str, sockets: usize, before: &str, settings: &str) -> Node {
+    pub fn start_in(
+        discovery: SocketAddr,
+        known: &str,
+        sockets: usize,
+        before: &str,
+        settings: &str,
+    ) -> Node {
         let text = format!(
-            r#"{{"name":"n0","listen":"127.0.0.1:0","discovery":"{discovery}","seed":"0a","limits":{{"sockets":{sockets}}},"known":{known},"settings":{}}}"#,
+            r#"{{"name":"n0","listen":"127.0.0.1:0","discovery":"{discovery}","seed":"0a","limits":{{"sockets":{sockets},"memory_mb":16}},"known":{known},"settings":{}}}"#,
             settings
         );
         let path = config_file(&text);
@@ -308,6 +314,13 @@
         Client { out: stream.try_clone().unwrap(), input: BufReader::new(stream) }
     }
 
+    /// The memory that it holds, in KiB.
+    pub fn resident_kib(&self) -> usize {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap();
+        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:")).unwrap();
+        line.trim().trim_end_matches(" kB").parse().unwrap()
+    }
+
     pub fn terminate(&self) {
         self.kill("TERM");
     }
