Call lost answers again where they were

At fault in brain.rs: nothing told a lost answer from a slow one (patience), and calls to the origin had no patience at all. Lost is now what has taken six times what its server's answers take, while something sent later was answered: the same call goes once more to the same place, within the budget of repeats and through the gate. Test seen to fail without it.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -33,6 +33,9 @@
 const DELAY: (f64, f64) = (1.0 / 60.0, 3.0 / 60.0);
 /// An attempt without answer for this part of its aim is slow, for twice this nearly late.
 const PATIENCE: f64 = 0.4;
+/// An answer is lost that has not come after this multiple of what answers of its server take, while what was
+/// sent there later has been answered.
+const LOST: f64 = 6.0;
 /// Strikes in a row, with no answer between them, after which a server is set aside.
 const STRIKES: u32 = 3;
 /// A server is set aside for this multiple of the longest aim, doubled each time up to the second figure.
@@ -343,6 +346,8 @@
             self.wake(slow_after, Wake::Patience(id, attempt));
         } else {
             self.gate.enter(call);
+            let lost_after = self.servers.get(&server).map_or(0.0, |s| LOST * s.takes) as Micros + 1;
+            self.wake(lost_after.max(slow_after), Wake::Patience(id, attempt));
         }
         self.flights.insert((id, attempt), Flight { server, call, sent, aim, slow_after });
         out.push(Action::Send { request: id, server, give_up_after: 0 });
@@ -368,6 +373,11 @@
 
     fn outcome(&mut self, o: Outcome, out: &mut Vec<Action>) {
         let Some(flight) = self.flights.remove(&(o.request, o.attempt)) else { return };
+        if let Some(s) = self.servers.get_mut(&flight.server).filter(|_| o.status == Status::Served) {
+            let took = (self.now - flight.sent) as f64;
+            s.takes += if s.takes == 0.0 { 1.0 } else { 0.1 } * (took - s.takes);
+            s.answered_sent = s.answered_sent.max(flight.sent);
+        }
         self.learn(&flight, &o, out);
         // One connection that broke, or one answer that was spoilt, says little of its server: the key's copy
         // is there still, and the next in the order would have to fetch it.
@@ -496,9 +506,19 @@
     /// strike when the server has answered nothing since.
     fn patience(&mut self, id: RequestId, attempt: u16, out: &mut Vec<Action>) {
         let Some(&f) = self.flights.get(&(id, attempt)) else { return };
+        let lost = self.lost(&f);
+        if lost {
+            self.send_again(id, &f, out);
+        }
+        if f.call != Call::Cache {
+            return;
+        }
         let (age, patience) = (self.now - f.sent, f.slow_after + 1);
         // Half a sign when it becomes slow, and is counted, and half when nearly late: slow is not yet lost.
-        self.strain.add(if age < f.aim { 0.5 } else { 0.0 }, if age < patience * 3 / 2 { 1.0 } else { 0.0 });
+        self.strain.add(
+            if age < f.aim && !lost { 0.5 } else { 0.0 },
+            if age < patience * 3 / 2 { 1.0 } else { 0.0 },
+        );
         if age < patience * 3 / 2 {
             self.hedge(id, f.server, out);
         }
@@ -511,6 +531,23 @@
         }
     }
 
+    /// Whether an answer will not come, though the server is well: a connection fell silent, not the server.
+    fn lost(&self, f: &Flight) -> bool {
+        let age = (self.now - f.sent) as f64;
+        let s = self.servers.get(&f.server);
+        s.is_some_and(|s| s.takes > 0.0 && age > LOST * s.takes && s.answered_sent > f.sent)
+    }
+
+    /// Against answers that are lost: the same call is made once more, where it was, within the budget of
+    /// repeats and, at the origin, through the gate. Without it each would cost its request all its time.
+    fn send_again(&mut self, id: RequestId, f: &Flight, out: &mut Vec<Action>) {
+        let only = self.held.get(&id).is_some_and(|h| h.out == 1);
+        let open = only && self.repeats >= 1.0 && (f.call == Call::Cache || self.gate_open(f.call));
+        if open && self.send(id, f.server, f.call, out) {
+            self.repeats -= 1.0;
+        }
+    }
+
     /// Against a slow or silent server, of which one of many balancers sees too little to avoid it: a read
     /// that waits long is sent to the next server too. Where it sees enough, a copy would only add a fetch.
     fn hedge(&mut self, id: RequestId, server: ServerId, out: &mut Vec<Action>) {
--- a/src/state.rs
+++ b/src/state.rs
@@ -70,6 +70,10 @@
     pub size: f32,
     pub in_flight: u32,
     pub heard: Micros,
+    /// When the latest of the attempts that it has answered was sent.
+    pub answered_sent: Micros,
+    /// Time that it takes to answer, of late.
+    pub takes: f64,
     /// Its answers within about one aim, as a fading count.
     pub answered: f64,
     pub strikes: u32,
--- a/tests/brain.rs
+++ b/tests/brain.rs
@@ -557,6 +557,28 @@
     assert!(refused(&node.pass(SECOND), 2), "but not beyond the client's time");
 }
 
+#[test]
+fn an_answer_that_was_overtaken_and_is_long_due_is_lost_and_its_call_is_made_again() {
+    let mut node = Node::new(Settings { may_cancel: true, ..settings() }, 1);
+    // The server, and the origin, answer in 20 ms.
+    let answer = |node: &mut Node, id: RequestId, write: bool| {
+        let request = if write { self::write(id, 1) } else { read(id, id) };
+        let server = sent_to(&node.request(request)).unwrap();
+        node.pass(20 * MS);
+        node.outcome(id, 0, server, Status::Served);
+    };
+    (1..=20).for_each(|id| answer(&mut node, id, id % 2 == 0));
+    node.request(read(100, 100));
+    node.request(write(101, 1));
+    (21..=24).for_each(|id| answer(&mut node, id, id % 2 == 0));
+    let again = node.pass(300 * MS);
+    let sent =
+        |id| again.iter().filter(|a| matches!(a, Action::Send { request, .. } if *request == id)).count();
+    assert_eq!((sent(100), sent(101)), (1, 1), "{again:?}");
+    let done = node.outcome(100, 1, 1, Status::Served);
+    assert!(done.contains(&Action::Cancel { request: 100, attempt: 0 }), "the silent one is given up");
+}
+
 #[test]
 fn a_slow_read_is_sent_to_the_next_server_too_and_the_loser_is_cancelled() {
     // One of 500 balancers meets a sick server once in 20 s: it cannot learn to avoid it, only not wait for it.
