Split the program into packages, with fronts and backends behind seams

Need: seven files of the node imported each other in a circle, the decision module was built with tokio, and a second front or backend would have been an edit of all of them.

Change: a workspace of spardeal (decisions, no tokio), stonevane-codec (RESP2, HTTP/1.1), stonevane-node (library and thin spardeal-node) and spardeal-drill. Shared types have rooms of their own (request, reply, list, hub). A front hands over an Asked and words the Final that comes back; a Backend carries a Job on a connection. Nothing is decided anew.

--- a/src/bin/spardeal-node/caches.rs
+++ b/crates/stonevane-node/src/backends/cache.rs
@@ -2,13 +2,36 @@
 
 use bytes::{Bytes, BytesMut};
 use spardeal::{Load, Note, Status};
+use stonevane_codec::resp::{self, Value};
 
-use crate::clients::Command;
-use crate::resp::{self, Value};
-use crate::upstreams::{Broken, Reply};
+use super::{Dialect, Job};
+use crate::reply::{Broken, Reply};
+use crate::request::Command;
+
+/// Cache servers, which speak RESP2.
+pub struct Cache;
+
+impl Dialect for Cache {
+    fn encode(&self, job: &Job, _host: &str) -> Bytes {
+        encode(&job.command, job.left_ms)
+    }
+
+    fn decode(
+        &self,
+        buffer: &mut BytesMut,
+        load_names: &[String],
+        longest: usize,
+    ) -> Result<Option<Reply>, Broken> {
+        decode(buffer, load_names, longest)
+    }
+
+    fn stated(&self, buffer: &[u8]) -> Option<usize> {
+        resp::stated(buffer)
+    }
+}
 
 /// The command of a client as it goes on to a cache server: all unchanged but `d`, the time left now.
-pub fn encode(command: &Command, left_ms: u64) -> Bytes {
+fn encode(command: &Command, left_ms: u64) -> Bytes {
     let facts = command.facts.split(',').map(|fact| match fact.split_once('=') {
         Some(("d", _)) => format!("d={left_ms}"),
         _ => fact.into(),
@@ -23,7 +46,7 @@
 
 /// Takes an answer off the front of what a connection brought; `None` while it is not all there. Against
 /// spoilt answers passed on: whatever is not just as the protocol has it is broken.
-pub fn decode(buffer: &mut BytesMut, load_names: &[String], longest: usize) -> Result<Option<Reply>, Broken> {
+fn decode(buffer: &mut BytesMut, load_names: &[String], longest: usize) -> Result<Option<Reply>, Broken> {
     let Some(value) = resp::take_value(buffer, longest).map_err(|_| Broken)? else { return Ok(None) };
     let reply = |status| Reply { status, note: Note::None, load: Load::default(), value: None, keep: true };
     Ok(Some(match value {
--- a/src/bin/spardeal-node/origin.rs
+++ b/crates/stonevane-node/src/backends/origin.rs
@@ -2,17 +2,39 @@
 
 use bytes::{BufMut, Bytes, BytesMut};
 use spardeal::Status;
+use stonevane_codec::http::{self, Chunks};
 
-use crate::caches;
-use crate::clients::Command;
-use crate::http::{self, Chunks};
-use crate::upstreams::{Broken, Reply};
+use super::{Dialect, Job, cache};
+use crate::reply::{Broken, Reply};
+use crate::request::Command;
 
 /// Interim answers (1xx) ahead of the final one, at most.
 const MAX_INTERIM: usize = 8;
 
+/// The origin, which speaks HTTP/1.1.
+pub struct Origin;
+
+impl Dialect for Origin {
+    fn encode(&self, job: &Job, host: &str) -> Bytes {
+        encode(&job.command, host)
+    }
+
+    fn decode(
+        &self,
+        buffer: &mut BytesMut,
+        load_names: &[String],
+        longest: usize,
+    ) -> Result<Option<Reply>, Broken> {
+        decode(buffer, load_names, longest)
+    }
+
+    fn stated(&self, buffer: &[u8]) -> Option<usize> {
+        http::head(buffer).ok().flatten().and_then(|head| head.content_length)
+    }
+}
+
 /// The request for a client's command.
-pub fn encode(command: &Command, host: &str) -> Bytes {
+fn encode(command: &Command, host: &str) -> Bytes {
     let mut out = BytesMut::with_capacity(512);
     out.put_slice(if command.write { b"PUT /" } else { b"GET /" });
     out.put_slice(&command.key);
@@ -29,7 +51,7 @@
 }
 
 /// Takes an answer off the front of what a connection brought; `None` while it is not all there.
-pub fn decode(buffer: &mut BytesMut, load_names: &[String], longest: usize) -> Result<Option<Reply>, Broken> {
+fn decode(buffer: &mut BytesMut, load_names: &[String], longest: usize) -> Result<Option<Reply>, Broken> {
     // Interim answers come ahead of the final one. They stay in the buffer until that has come, so that the
     // few that are allowed are counted anew each time: against a server that sends them without end.
     let mut ahead = 0;
@@ -80,7 +102,7 @@
         _ => Status::Error,
     };
     let value = (status == Status::Served).then_some(value);
-    let load = caches::load(head.load.as_deref().unwrap_or(""), load_names);
-    let note = caches::note(head.note.as_deref().unwrap_or(""));
+    let load = cache::load(head.load.as_deref().unwrap_or(""), load_names);
+    let note = cache::note(head.note.as_deref().unwrap_or(""));
     Ok(Some(Reply { status, note, load, value, keep }))
 }
--- /dev/null
+++ b/crates/stonevane-node/src/bin/spardeal-node.rs
@@ -0,0 +1,5 @@
+//! The node as a program: see `stonevane_node`.
+
+fn main() -> std::process::ExitCode {
+    stonevane_node::main()
+}
--- a/src/bin/spardeal-node/config.rs
+++ b/crates/stonevane-node/src/config.rs
@@ -6,7 +6,7 @@
 use spardeal::settings::{self, Deployment};
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::discovery::Listing;
+use crate::list::Listing;
 
 /// All that a node is told at its start.
 #[derive(Debug)]
--- a/src/bin/spardeal-node/discovery.rs
+++ b/crates/stonevane-node/src/discovery.rs
@@ -6,51 +6,15 @@
 use std::time::Duration;
 
 use bytes::BytesMut;
-use serde::Deserialize;
+use stonevane_codec::http::{self, Chunks};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 use tokio::task::AbortHandle;
 
-use crate::http::{self, Chunks};
-use crate::log;
-use crate::node::Input;
-
-/// A list of servers, or a change of it.
-#[derive(Deserialize, Default, Debug)]
-pub struct Listing {
-    /// Its version.
-    #[serde(default)]
-    pub index: u64,
-    /// Whether it is whole.
-    #[serde(default)]
-    pub snapshot: bool,
-    /// Its entries.
-    pub endpoints: Vec<Endpoint>,
-}
-
-/// A server of the list.
-#[derive(Deserialize, Debug)]
-pub struct Endpoint {
-    pub name: String,
-    #[serde(default)]
-    pub address: String,
-    #[serde(default)]
-    pub zone: String,
-    #[serde(default, rename = "type")]
-    pub kind: String,
-    #[serde(default)]
-    pub group: u16,
-    pub status: String,
-    #[serde(default = "one")]
-    pub weight: f32,
-    #[serde(default)]
-    pub since_ms: u64,
-}
-
-fn one() -> f32 {
-    1.0
-}
+use crate::clock::log;
+use crate::hub::Input;
+use crate::list::Era;
 
 const CONNECT: Duration = Duration::from_secs(1);
 /// Calls wait in turn at discovery: it is given this long to begin its answer.
@@ -63,9 +27,6 @@
 /// The longest list.
 const MAX_LIST: usize = 4 * 1024 * 1024;
 
-/// Tells what one discovery said from what the next one says: versions of different ones can't be compared.
-pub type Era = u64;
-
 /// Where a call's news goes, and whose it is.
 #[derive(Clone)]
 struct Line {
--- a/src/bin/spardeal-node/clients.rs
+++ b/crates/stonevane-node/src/fronts/resp.rs
@@ -1,4 +1,4 @@
-//! The server side: the listener, clients' connections, and the commands on them.
+//! The RESP2 front: the listener, clients' connections, and the commands on them.
 
 use std::collections::{HashSet, VecDeque};
 use std::sync::{Arc, Mutex, PoisonError};
@@ -6,19 +6,17 @@
 
 use bytes::{Bytes, BytesMut};
 use spardeal::settings::Deployment;
-use spardeal::{Effect, Key, Micros};
+use spardeal::{Effect, Micros};
+use stonevane_codec::resp;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore, mpsc, watch};
+use tokio::sync::{OwnedSemaphorePermit, mpsc};
 use tokio::time::{Instant, sleep_until};
-use xxhash_rust::xxh3::xxh3_64;
 
-use crate::memory::{Memory, Share};
-use crate::node::{Clock, Input};
-use crate::resp;
-
-/// Names a client's connection; never used twice.
-pub type ClientId = u64;
+use super::Front;
+use crate::hub::Input;
+use crate::memory::Share;
+use crate::request::{Answer, Asked, ClientId, Command, Final, Phase};
 
 /// Requests of one connection that are answered at the same time; more wait unread. The first figure holds
 /// until it is known how long the answers are: together they may hold the third, as a part of the memory.
@@ -43,29 +41,6 @@
 /// The longest wait that a client may state, in milliseconds, unless its class allows for a longer one.
 const MAX_WAIT_MS: f64 = 60_000.0;
 
-/// What all connections of clients share.
-pub struct Front {
-    pub deployment: Arc<Deployment>,
-    pub clock: Clock,
-    pub hub: mpsc::Sender<Input>,
-    /// Where the node stands.
-    pub phase: watch::Receiver<Phase>,
-    /// Connections that may still be taken, those for refusals included.
-    pub room: Arc<Semaphore>,
-    /// Places of the table that clients and servers share; connections to servers that stand idle give way.
-    pub table: Arc<Semaphore>,
-    /// How many of the places for clients are kept for refusals.
-    pub refusals: usize,
-    /// Wakes the connection that has been idle for longest, to give its place up.
-    pub pressure: Notify,
-    /// Requests that may still be taken; one counts until its answer is passed on.
-    pub open: Arc<Semaphore>,
-    /// What they and all else may hold.
-    pub memory: Memory,
-    /// Ids of the requests that are open.
-    pub ids: Arc<Mutex<HashSet<Bytes>>>,
-}
-
 /// An id while its request is open. Against a client that names another's: the second is not taken.
 struct Id(Bytes, Arc<Mutex<HashSet<Bytes>>>);
 
@@ -82,69 +57,6 @@
     }
 }
 
-impl Front {
-    /// Whether only places for refusals are left.
-    fn crowded(&self) -> bool {
-        self.room.available_permits().min(self.table.available_permits()) < self.refusals
-    }
-}
-
-/// Where the node stands.
-#[derive(Clone, Copy, PartialEq, Eq, Debug)]
-pub enum Phase {
-    /// It has no list of servers yet.
-    Starting,
-    /// It serves.
-    Ready,
-    /// It ends: connections are closed between requests.
-    Draining,
-}
-
-/// A command of a client.
-#[derive(Debug, Clone, Default)]
-pub struct Command {
-    pub write: bool,
-    pub key: Bytes,
-    pub id: Bytes,
-    pub facts: String,
-    pub value: Option<Bytes>,
-    pub class: usize,
-    pub tenant: usize,
-    pub time_left: Micros,
-    pub repeat: bool,
-    pub cost: Option<Micros>,
-    pub size: f32,
-}
-
-impl Command {
-    /// The key as the module knows it, the same at every node.
-    pub fn hashed_key(&self) -> Key {
-        let text = std::str::from_utf8(&self.key).ok();
-        let hex = text.filter(|t| t.len() == 16).and_then(|t| u64::from_str_radix(t, 16).ok());
-        hex.unwrap_or_else(|| xxh3_64(&self.key)).max(1)
-    }
-}
-
-/// A command on its way to the node, and where its answer goes.
-#[derive(Debug)]
-pub struct Asked {
-    pub command: Command,
-    pub at: Micros,
-    pub client: ClientId,
-    pub slot: u64,
-    pub answers: mpsc::Sender<Answer>,
-    /// What the request holds of the memory, its value and that value on its way included.
-    pub share: Share,
-}
-
-/// An answer for one of a connection's slots, and what it holds of the memory.
-#[derive(Debug)]
-pub struct Answer {
-    pub slot: u64,
-    pub bytes: Bytes,
-    pub share: Option<Share>,
-}
-
 /// Takes connections until the node drains, then those that the machine has already taken.
 pub async fn listen(listener: TcpListener, front: Arc<Front>) {
     let mut phase = front.phase.clone();
@@ -338,9 +250,12 @@
             tokio::select! {
                 biased;
                 answer = self.answered.recv() => {
-                    self.longest = answer.as_ref().map_or(0, |a| a.bytes.len()).max(self.longest);
-                    if let Some(Answer { slot, bytes, share }) = answer
-                        && let Some(place) = self.slots.get_mut(slot.saturating_sub(self.first) as usize)
+                    let (slot, bytes, share) = match answer {
+                        Some(Answer { slot, says, share }) => (slot, word(says), share),
+                        None => continue,
+                    };
+                    self.longest = self.longest.max(bytes.len());
+                    if let Some(place) = self.slots.get_mut(slot.saturating_sub(self.first) as usize)
                     {
                         *place = Slot { answer: Some((bytes, share)), open: None };
                     }
@@ -468,6 +383,20 @@
     }
 }
 
+/// A final answer in RESP2.
+fn word(says: Final) -> Bytes {
+    match says {
+        Final::Served(value) => {
+            let mut out = BytesMut::with_capacity(value.len() + 16);
+            resp::put_bulk(&mut out, &value);
+            out.freeze()
+        }
+        Final::Refused { retry_after: 0 } => Bytes::from_static(b"-BUSY\r\n"),
+        Final::Refused { retry_after } => format!("-BUSY {}\r\n", retry_after.div_ceil(1_000)).into(),
+        Final::Failed => Bytes::from_static(b"-ERR failed\r\n"),
+    }
+}
+
 /// Waits until a point in time; for ever where there is none.
 async fn until(at: Option<Instant>) {
     match at {
--- a/src/bin/spardeal-node/main.rs
+++ b/crates/stonevane-node/src/lib.rs
@@ -1,18 +1,19 @@
 //! One node: clients on one side, cache servers, the origin and discovery on the other, the decision module
 //! between them.
 
-mod caches;
-mod clients;
+mod backends;
+mod clock;
 mod config;
 mod discovery;
-mod http;
+mod fronts;
+mod hub;
+mod list;
 mod memory;
 mod node;
-mod origin;
-mod resp;
+mod reply;
+mod request;
 mod upstreams;
 
-use std::io::Write;
 use std::process::ExitCode;
 use std::sync::Arc;
 
@@ -20,10 +21,13 @@
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{Notify, Semaphore, mpsc, watch};
 
-use clients::{Front, Phase};
+use clock::{Clock, log};
 use config::Config;
+use fronts::Front;
+use hub::Input;
 use memory::Memory;
-use node::{Clock, Input, Node};
+use node::Node;
+use request::Phase;
 
 /// What waits between the connections and the node's loop.
 const INPUTS: usize = 1024;
@@ -32,11 +36,6 @@
 /// Sockets kept back for the listener, discovery and the runtime, and for those just being closed.
 const RESERVE: usize = 16;
 
-/// Writes a line to the log; a log that can't be written to is no reason to stop.
-pub fn log(line: &str) {
-    let _ = writeln!(std::io::stderr(), "spardeal-node: {line}");
-}
-
 async fn run(config: Config) -> std::io::Result<()> {
     let (hub, inputs) = mpsc::channel(INPUTS);
     let (phase_set, phase) = watch::channel(Phase::Starting);
@@ -66,7 +65,7 @@
         memory: memory.clone(),
         ids: Arc::default(),
     };
-    tokio::spawn(clients::listen(listener, Arc::new(front)));
+    tokio::spawn(fronts::resp::listen(listener, Arc::new(front)));
     let signals = hub.clone();
     tokio::spawn(async move {
         let [term, int] = &mut terms;
@@ -88,7 +87,10 @@
     Ok(())
 }
 
-fn main() -> ExitCode {
+/// Runs a node to its end: reads the configuration that the environment names, serves, and drains on SIGTERM.
+///
+/// Exit code 0 after a drain; 2, with one line on standard error, for a configuration that can't be used.
+pub fn main() -> ExitCode {
     let config = match Config::from_env() {
         Ok(config) => config,
         Err(e) => {
--- /dev/null
+++ b/crates/stonevane-node/src/list.rs
@@ -0,0 +1,42 @@
+//! The list of servers in discovery's form.
+
+use serde::Deserialize;
+
+/// Tells what one discovery said from what the next one says: versions of different ones can't be compared.
+pub type Era = u64;
+
+/// A list of servers, or a change of it.
+#[derive(Deserialize, Default, Debug)]
+pub struct Listing {
+    /// Its version.
+    #[serde(default)]
+    pub index: u64,
+    /// Whether it is whole.
+    #[serde(default)]
+    pub snapshot: bool,
+    /// Its entries.
+    pub endpoints: Vec<Endpoint>,
+}
+
+/// A server of the list.
+#[derive(Deserialize, Debug)]
+pub struct Endpoint {
+    pub name: String,
+    #[serde(default)]
+    pub address: String,
+    #[serde(default)]
+    pub zone: String,
+    #[serde(default, rename = "type")]
+    pub kind: String,
+    #[serde(default)]
+    pub group: u16,
+    pub status: String,
+    #[serde(default = "one")]
+    pub weight: f32,
+    #[serde(default)]
+    pub since_ms: u64,
+}
+
+fn one() -> f32 {
+    1.0
+}
--- a/src/bin/spardeal-node/node.rs
+++ b/crates/stonevane-node/src/node.rs
@@ -5,9 +5,7 @@
 use std::collections::{BinaryHeap, HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-use bytes::{Bytes, BytesMut};
 use spardeal::settings::Deployment;
 use spardeal::{
     Action, Condition, Event, ListKind, Load, Micros, Note, Outcome, Policy, Request, RequestId, ServerId,
@@ -16,58 +14,16 @@
 use tokio::sync::{Semaphore, mpsc, watch};
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::clients::{Answer, Asked, ClientId, Command, Phase};
+use crate::backends::{Backend, Job, Streamed, cache, origin};
+use crate::clock::{Clock, log};
 use crate::config::Config;
-use crate::discovery::{Discovery, Era, Listing};
+use crate::discovery::Discovery;
+use crate::hub::Input;
+use crate::list::Listing;
 use crate::memory::{Memory, Share};
-use crate::upstreams::{AttemptKey, ConnId, News, Pool, Reply, Speech};
-use crate::{caches, log, origin, resp};
-
-/// What reaches the loop.
-#[derive(Debug)]
-pub enum Input {
-    /// A client asks.
-    Asked(Box<Asked>),
-    /// A client has closed its connection.
-    ClientGone(ClientId),
-    /// News of a connection to a server.
-    Conn(ConnId, News),
-    /// Discovery has sent a list or a change.
-    List(Era, Listing),
-    /// A call to discovery failed, or the watch broke.
-    ListFailed(Era),
-    /// The table of sockets is full, and a client wants a place.
-    Crowded,
-    /// The configuration was read anew.
-    Reload(Box<Config>),
-    /// The platform asks the node to end.
-    Terminate,
-}
-
-/// The node's one clock: Unix time in microseconds at the start, and steady from there on.
-#[derive(Clone, Copy)]
-pub struct Clock {
-    start: Instant,
-    unix: Micros,
-}
-
-impl Clock {
-    /// A clock that starts now.
-    pub fn start() -> Self {
-        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        Clock { start: Instant::now(), unix: unix.as_micros() as Micros }
-    }
-
-    /// The time.
-    pub fn now(self) -> Micros {
-        self.unix + self.start.elapsed().as_micros() as Micros
-    }
-
-    /// The instant of a time.
-    fn instant(self, at: Micros) -> tokio::time::Instant {
-        (self.start + Duration::from_micros(at.saturating_sub(self.unix))).into()
-    }
-}
+use crate::reply::{AttemptKey, ConnId, News, Reply};
+use crate::request::{Answer, Asked, ClientId, Command, Final, Phase};
+use crate::upstreams::Pool;
 
 /// After SIGTERM, connections go on being taken for this long: new ones keep coming for up to 0.4 s.
 const ACCEPT_ON: Micros = 450_000;
@@ -93,7 +49,7 @@
 
 struct Server {
     address: SocketAddr,
-    speech: Speech,
+    backend: Arc<dyn Backend>,
     condition: Condition,
     /// When it last answered anything.
     heard: Micros,
@@ -130,6 +86,9 @@
     attempts: HashMap<AttemptKey, Attempt>,
     next: RequestId,
     servers: HashMap<ServerId, Server>,
+    /// How cache servers and the origin are spoken with.
+    cache: Arc<dyn Backend>,
+    origin: Arc<dyn Backend>,
     pool: Pool,
     memory: Memory,
     discovery: Discovery,
@@ -156,6 +115,8 @@
             attempts: HashMap::new(),
             next: 1,
             servers: HashMap::new(),
+            cache: Arc::new(Streamed::new(cache::Cache)),
+            origin: Arc::new(Streamed::new(origin::Origin)),
             pool: Pool::new(table, deployment.clone(), memory.clone(), hub.clone()),
             memory,
             discovery: Discovery::new(config.discovery, config.known.index, hub),
@@ -271,7 +232,7 @@
             Due::Deadline(id) => {
                 // The module ends a request before this. Should it not, the client still gets its answer.
                 if self.open.get(&id).is_some_and(|open| !open.over) {
-                    self.answer(id, Bytes::from_static(b"-ERR failed\r\n"));
+                    self.answer(id, Final::Failed);
                     self.tell(Event::ClientGone(id));
                 }
             }
@@ -305,13 +266,9 @@
         match action {
             Action::Send { request, server, give_up_after } => self.send(request, server, give_up_after),
             Action::Refuse { request, retry_after } => {
-                let answer = match retry_after {
-                    0 => Bytes::from_static(b"-BUSY\r\n"),
-                    after => format!("-BUSY {}\r\n", after.div_ceil(1_000)).into(),
-                };
-                self.answer(request, answer);
+                self.answer(request, Final::Refused { retry_after });
             }
-            Action::Fail(request) => self.answer(request, Bytes::from_static(b"-ERR failed\r\n")),
+            Action::Fail(request) => self.answer(request, Final::Failed),
             Action::Cancel { request, attempt } => self.give_up((request, attempt), Status::Cancelled),
             Action::Timer { after, token } => {
                 self.timers.push(Reverse((self.clock.now() + after.max(1), Due::Policy(token))));
@@ -357,15 +314,15 @@
     }
 
     /// Gives the final answer, the first only.
-    fn answer(&mut self, id: RequestId, answer: Bytes) {
+    fn answer(&mut self, id: RequestId, says: Final) {
         let Some(open) = self.open.get(&id).filter(|open| !open.over) else { return };
         // Forced by memory: an answer that there is no room for is not passed on, and tells as much.
-        let (bytes, share) = match self.memory.try_take(answer.len()) {
-            Some(share) => (answer, Some(share)),
-            None => (Bytes::from_static(b"-ERR failed\r\n"), None),
+        let (says, share) = match self.memory.try_take(says.size()) {
+            Some(share) => (says, Some(share)),
+            None => (Final::Failed, None),
         };
         // There is room for every answer that a connection is owed; one that has ended takes none.
-        let _ = open.answers.try_send(Answer { slot: open.slot, bytes, share });
+        let _ = open.answers.try_send(Answer { slot: open.slot, says, share });
         self.close_request(id);
     }
 
@@ -390,13 +347,13 @@
             !open.over && u32::from(key.1) < self.deployment.settings.max_attempts && now < open.ends;
         let limit = if give_up_after == 0 { open.ends } else { open.ends.min(now + give_up_after) };
         let target = self.servers.get(&server).filter(|_| allowed);
-        let Some((address, speech)) = target.map(|s| (s.address, s.speech)) else {
+        let Some((address, backend)) = target.map(|s| (s.address, s.backend.clone())) else {
             self.attempts.insert(key, Attempt { server, sent: now, conn: 0 });
             return self.end(key, Status::NotSent);
         };
         let conn = match self.pool.reuse(server, key, now) {
             Some(conn) => Some((conn, true)),
-            None => self.pool.open(server, address, speech, key).map(|conn| (conn, false)),
+            None => self.pool.open(server, address, &*backend, key).map(|conn| (conn, false)),
         };
         let Some((conn, up)) = conn else {
             // Forced by the limit on sockets: there is no connection to send this on.
@@ -418,16 +375,13 @@
         // waited for its connection, and meanwhile its server may have left or its client gone.
         let server = self.servers.get(&attempt.server).filter(|s| s.condition == Condition::Ready);
         let open = self.open.get(&key.0).filter(|open| !open.over && now < open.ends);
-        let (Some(server), Some(open)) = (server, open) else {
+        let (Some(_), Some(open)) = (server, open) else {
             let address = self.servers.get(&attempt.server).map(|s| s.address);
             self.pool.release(conn, address, now);
             return self.end(key, Status::NotSent);
         };
-        let bytes = match server.speech {
-            Speech::Resp => caches::encode(&open.command, (open.ends - now).div_ceil(1_000)),
-            Speech::Http => origin::encode(&open.command, &server.address.to_string()),
-        };
-        if !self.pool.start(conn, bytes) {
+        let job = Job { command: open.command.clone(), left_ms: (open.ends - now).div_ceil(1_000) };
+        if !self.pool.start(conn, job) {
             self.lost(key, conn, false);
         }
     }
@@ -478,7 +432,7 @@
         // the same attempt may have a fresh connection. Only once: a fresh one has carried nothing.
         if let Some(attempt) = self.attempts.get_mut(&key).filter(|_| stale)
             && let Some(server) = self.servers.get(&attempt.server)
-            && let Some(conn) = self.pool.open(attempt.server, server.address, server.speech, key)
+            && let Some(conn) = self.pool.open(attempt.server, server.address, &*server.backend, key)
         {
             attempt.conn = conn;
             return;
@@ -511,10 +465,8 @@
         let Some(open) = self.open.get_mut(&key.0) else { return };
         open.out -= 1;
         let over = open.over || reply.status == Status::Served;
-        if let Some(value) = &reply.value {
-            let mut answer = BytesMut::with_capacity(value.len() + 16);
-            resp::put_bulk(&mut answer, value);
-            self.answer(key.0, answer.freeze());
+        if let Some(value) = reply.value {
+            self.answer(key.0, Final::Served(value));
         }
         if over {
             self.close_request(key.0);
@@ -552,9 +504,9 @@
             let address = entry.address.parse().ok().or_else(|| self.servers.get(&id).map(|s| s.address));
             let Some(address) = address else { continue };
             let kind = place(&self.deployment.kinds, &entry.kind).unwrap_or(usize::from(u16::MAX)) as u16;
-            let speech = match self.deployment.settings.origin_kind == Some(kind) {
-                true => Speech::Http,
-                false => Speech::Resp,
+            let backend = match self.deployment.settings.origin_kind == Some(kind) {
+                true => self.origin.clone(),
+                false => self.cache.clone(),
             };
             // In the module's clock, which is Unix time here; 0 stays 0, and nothing starts in the future.
             let started = if entry.since_ms == 0 { 0 } else { entry.since_ms.saturating_mul(1_000).min(now) };
@@ -562,7 +514,7 @@
             let cell = entry.group;
             lines.push(ServerLine { id, zone, cell, kind, weight: entry.weight, started, condition });
             let heard = self.servers.get(&id).map_or(0, |server| server.heard);
-            let before = self.servers.insert(id, Server { address, speech, condition, heard });
+            let before = self.servers.insert(id, Server { address, backend, condition, heard });
             if condition != Condition::Ready || before.is_some_and(|before| before.address != address) {
                 self.pool.close_idle(id);
             }
