--- /dev/null
+++ b/crates/stonevane-audit/src/auditor.rs
@@ -0,0 +1,731 @@
+//! The auditor: events in, findings out, in one pass.
+//!
+//! Every accusation uses the bound of each span that speaks for the accused: an answer is late when the
+//! earliest moment at which it can have come is past the latest at which it was due.
+
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, HashMap, HashSet, VecDeque};
+use std::rc::Rc;
+
+use crate::history::{Effect, Event, Line, Outcome, Span};
+use crate::report::{Evidence, Finding, Report, Rule};
+use crate::rules::{ClassRule, Kind, Rules, Scope};
+
+/// A request is held for this long after its time, for what may still come of it.
+const LINGER_US: u64 = 5_000_000;
+/// An idempotency key is held for this long after it last ran.
+const TOKEN_US: u64 = 60_000_000;
+/// A suspicion is judged this much later, when all that could clear it has been read.
+const JUDGED_US: u64 = 1_000_000;
+/// Lines quoted in one finding, at most.
+const MOST_EVIDENCE: usize = 12;
+
+/// A line and its number.
+type Seen = (usize, Rc<Line>);
+
+/// What is held of a request.
+#[derive(Default)]
+struct Request {
+    asks: Vec<Seen>,
+    answer: Option<Seen>,
+    gone: Option<Seen>,
+    closed: Option<Seen>,
+    attempts: Vec<Seen>,
+    replies: Vec<Seen>,
+    /// It missed at a cold server.
+    cold_miss: bool,
+    /// Ways of breaking a rule that it has been accused of.
+    accused: Vec<&'static str>,
+}
+
+impl Request {
+    fn class(&self, rules: &Rules) -> ClassRule {
+        let name = self.asks.first().or(self.attempts.first()).map_or("", |(_, line)| line.class.as_str());
+        rules.class(name)
+    }
+
+    fn lines(&self) -> Vec<Seen> {
+        let parts = [&self.asks[..], &self.attempts, &self.replies];
+        let mut lines: Vec<Seen> = parts.into_iter().flatten().cloned().collect();
+        lines.extend(self.answer.iter().chain(&self.gone).chain(&self.closed).cloned());
+        lines
+    }
+}
+
+/// What came to a server within its window.
+struct Arrival {
+    t: Span,
+    work: u64,
+    /// It counts towards the part that makes an overload a breach.
+    counts: bool,
+    seen: Seen,
+}
+
+#[derive(Default)]
+struct Server {
+    zone: String,
+    cell: u64,
+    start: Option<Seen>,
+    arrivals: VecDeque<Arrival>,
+    /// When its last overload began that is held against nobody.
+    overrun: Option<u64>,
+}
+
+impl Server {
+    /// Capacity when warm, in work a microsecond; cold share; start; time to warm.
+    fn figures(&self) -> Option<(f64, f64, u64, u64)> {
+        let (_, line) = self.start.as_ref()?;
+        let cold = line.warm_us > 0 && line.capacity_us_per_s > 0.0;
+        // The earliest start that is possible leaves it the most capacity.
+        cold.then_some((line.capacity_us_per_s / 1e6, line.cold_share, line.t.begun, line.warm_us))
+    }
+
+    /// Work that it can do from a moment on for a time, while it warms evenly.
+    fn able(&self, from: u64, time: u64) -> f64 {
+        let Some((capacity, share, start, warm)) = self.figures() else { return f64::INFINITY };
+        // The integral of share + (1 - share) * min(1, (t - start) / warm).
+        let done = |at: u64| {
+            let at = at.saturating_sub(start) as f64;
+            let warm = warm as f64;
+            let rising = at.min(warm);
+            share * at + (1.0 - share) * (rising * rising / (2.0 * warm) + (at - rising))
+        };
+        capacity * (done(from + time) - done(from))
+    }
+
+    fn cold(&self, at: u64) -> bool {
+        self.figures().is_some_and(|(_, _, start, warm)| at < start + warm)
+    }
+}
+
+/// What a node was told of a server, in force since.
+#[derive(Default)]
+struct Told {
+    /// That it drains or is gone: the first time since it last ran.
+    down: Option<Seen>,
+    /// Its start, and when the node had surely heard of it.
+    start: Option<(u64, u64)>,
+    /// When it was said to run, at the earliest: the last few times.
+    up: VecDeque<u64>,
+}
+
+/// A node's process.
+#[derive(Default)]
+struct Node {
+    ready: Option<Span>,
+    term: Option<Seen>,
+    kills: Vec<Seen>,
+}
+
+struct Suspect {
+    due: u64,
+    seen: Seen,
+    /// Whether it is accused by what the node was told, or by what it counts as told.
+    told: Seen,
+    by_told: bool,
+}
+
+/// The auditor; see the crate's page.
+pub struct Auditor {
+    rules: Rc<Rules>,
+    report: Report,
+    now: u64,
+    ended: bool,
+    requests: HashMap<String, Request>,
+    due: BinaryHeap<Reverse<(u64, String)>>,
+    /// Values that were made, and for which request.
+    made: HashMap<String, String>,
+    /// The newest version of a key that a client has its receipt for: when at the latest, and the line.
+    edited: HashMap<String, Vec<(u64, u64, Seen)>>,
+    tokens: HashMap<String, (u64, HashSet<String>)>,
+    token_due: VecDeque<(u64, String)>,
+    servers: HashMap<String, Server>,
+    nodes: HashMap<String, Node>,
+    told: HashMap<(String, String), Told>,
+    changed: HashMap<String, Told>,
+    suspects: VecDeque<Suspect>,
+}
+
+impl Auditor {
+    /// An auditor of these rules.
+    pub fn new(rules: Rules) -> Self {
+        Auditor {
+            rules: Rc::new(rules),
+            report: Report::default(),
+            now: 0,
+            ended: false,
+            requests: HashMap::new(),
+            due: BinaryHeap::new(),
+            made: HashMap::new(),
+            edited: HashMap::new(),
+            tokens: HashMap::new(),
+            token_due: VecDeque::new(),
+            servers: HashMap::new(),
+            nodes: HashMap::new(),
+            told: HashMap::new(),
+            changed: HashMap::new(),
+            suspects: VecDeque::new(),
+        }
+    }
+
+    /// Takes the next line; lines come in the order of their `t.ended`.
+    pub fn line(&mut self, number: usize, line: Line) {
+        self.take((number, Rc::new(line)));
+    }
+
+    fn take(&mut self, seen: Seen) {
+        self.report.events += 1;
+        self.now = self.now.max(seen.1.t.ended);
+        self.settle(self.now, false);
+        match seen.1.event {
+            Event::Begin | Event::Fault => {}
+            Event::Ask => self.ask(seen),
+            Event::Answer => self.answer(seen),
+            Event::Gone => {
+                let request = self.request(&seen);
+                request.gone = Some(seen);
+            }
+            Event::Closed => {
+                let request = self.request(&seen);
+                if request.answer.is_none() {
+                    request.closed = Some(seen);
+                }
+            }
+            Event::Stray => {
+                let what = format!("node {} sent bytes that answer nothing", seen.1.node);
+                self.accuse(Rule::Answered, "twice", &seen.1.request.clone(), what, &[seen]);
+            }
+            Event::Attempt => self.attempt(seen),
+            Event::Reply => self.reply(seen),
+            Event::Start => {
+                let server = self.servers.entry(seen.1.at().into()).or_default();
+                (server.zone, server.cell) = (seen.1.zone.clone(), seen.1.cell);
+                server.arrivals.clear();
+                server.start = Some(seen);
+            }
+            Event::Down => {
+                if let Some(server) = self.servers.get_mut(seen.1.at()) {
+                    server.arrivals.clear();
+                }
+            }
+            Event::Change => note(self.changed.entry(seen.1.at().into()).or_default(), seen),
+            Event::Told => {
+                let key = (seen.1.node.clone(), seen.1.at().to_owned());
+                note(self.told.entry(key).or_default(), seen);
+            }
+            Event::Node => self.node(seen),
+            Event::End => self.ended = true,
+        }
+    }
+
+    /// The verdict, once the last line was taken.
+    pub fn finish(mut self) -> Report {
+        self.settle(u64::MAX, true);
+        self.report
+    }
+
+    fn request(&mut self, seen: &Seen) -> &mut Request {
+        let name = &seen.1.request;
+        if !self.requests.contains_key(name) {
+            // Until it is known how long its client waits.
+            self.due.push(Reverse((seen.1.t.ended + 2 * LINGER_US, name.clone())));
+            self.requests.insert(name.clone(), Request::default());
+            self.report.held_at_most = self.report.held_at_most.max(self.requests.len());
+        }
+        self.requests.entry(name.clone()).or_default()
+    }
+
+    // Rule 1.
+
+    fn ask(&mut self, seen: Seen) {
+        let name = seen.1.request.clone();
+        let until = seen.1.until;
+        let request = self.request(&seen);
+        let first = request.asks.is_empty();
+        request.asks.push(seen.clone());
+        let closed = request.closed.take();
+        // A close that crossed the request had not read it; an attempt before it is sent once more proves that
+        // the node had, and lost it.
+        let read = request.attempts.iter().find(|(_, a)| a.t.ended < seen.1.t.begun).cloned();
+        self.due.push(Reverse((until + self.rules.answer_slack_us + LINGER_US, name.clone())));
+        if first {
+            self.report.requests += 1;
+        } else if let (Some(closed), Some(read)) = (closed, read) {
+            let what = format!("node {} had read it and ended its connection with no answer", closed.1.node);
+            self.accuse(Rule::Answered, "lost", &name, what, &[read, closed, seen]);
+        }
+    }
+
+    fn answer(&mut self, seen: Seen) {
+        let (name, rules) = (seen.1.request.clone(), self.rules.clone());
+        let request = self.request(&seen);
+        if let Some(before) = request.answer.clone() {
+            let what = "a second final answer".to_owned();
+            return self.accuse(Rule::Answered, "twice", &name, what, &[before, seen]);
+        }
+        request.answer = Some(seen.clone());
+        let ask = request.asks.last().cloned();
+        let kind = request.class(&rules);
+        let outcome = seen.1.outcome.unwrap_or(Outcome::Failed);
+        let class = ask.as_ref().map_or("", |(_, ask)| ask.class.as_str()).to_owned();
+        self.report.answers.entry(class).or_default()[outcome as usize] += 1;
+        if let Some(ask) = ask {
+            let by = ask.1.until + self.rules.answer_slack_us;
+            if seen.1.t.begun > by {
+                let what = format!("answered {} us after its client had given up", seen.1.t.begun - by);
+                self.accuse(Rule::Answered, "late", &name, what, &[ask, seen.clone()]);
+            }
+        }
+        match outcome {
+            Outcome::Served => self.served(&name, &kind, seen),
+            Outcome::Refused => {
+                let harmful =
+                    kind.kind == Kind::Unsafe || kind.kind == Kind::Keyed && kind.scope != Scope::All;
+                let ran = self.requests[&name].attempts.iter().find(|(_, a)| a.effect == Some(Effect::Ran));
+                if let Some(ran) = ran.filter(|_| harmful).cloned() {
+                    let what = "refused, as if a retry did no harm, though it has run".to_owned();
+                    self.accuse(Rule::Once, "refused-after-run", &name, what, &[ran, seen]);
+                }
+            }
+            Outcome::Failed => {}
+        }
+    }
+
+    fn served(&mut self, name: &str, kind: &ClassRule, seen: Seen) {
+        let request = &self.requests[name];
+        let ask = request.asks.first().cloned();
+        let made = request.replies.iter().find(|(_, r)| r.value == seen.1.value).cloned();
+        let Some((_, reply)) = made else {
+            let what = match self.made.get(&seen.1.value) {
+                Some(other) => format!("served with the value made for request {other}"),
+                None => "served with a value that no server made".to_owned(),
+            };
+            let mut lines = request.replies.clone();
+            lines.push(seen);
+            return self.accuse(Rule::Answered, "value", name, what, &lines);
+        };
+        let version = reply.version;
+        let Some((_, ask)) = ask else { return };
+        if kind.kind == Kind::Safe {
+            // An edit whose receipt its client had before this was asked must show.
+            let newer = self.edited.get(&ask.key).into_iter().flatten();
+            let newer = newer.filter(|(at, new, _)| *at < ask.t.begun && *new > version).max_by_key(|e| e.1);
+            if let Some((_, new, edit)) = newer.cloned() {
+                let what = format!("served version {version} of a key that was at {new} before it was asked");
+                self.accuse(Rule::Answered, "stale", name, what, &[edit, seen]);
+            }
+        } else if version > 0 {
+            let edits = self.edited.entry(ask.key.clone()).or_default();
+            edits.push((seen.1.t.ended, version, seen));
+            // Of two edits the one that is newer and was answered earlier says all that the other does.
+            let all = std::mem::take(edits);
+            let beaten = |e: &(u64, u64, Seen)| all.iter().any(|o| o.0 <= e.0 && o.1 > e.1);
+            let mut kept: Vec<_> = all.iter().filter(|e| !beaten(e)).cloned().collect();
+            kept.sort_by_key(|e| e.1);
+            let from = kept.len().saturating_sub(16);
+            *edits = kept.split_off(from);
+        }
+    }
+
+    // Rule 2.
+
+    fn attempt(&mut self, seen: Seen) {
+        self.report.attempts += 1;
+        let (name, effect) = (seen.1.request.clone(), seen.1.effect.unwrap_or(Effect::Ran));
+        let cold = self.servers.get(seen.1.at()).is_some_and(|s| s.cold(seen.1.t.ended));
+        let rules = self.rules.clone();
+        let slack = rules.answer_slack_us;
+        let request = self.request(&seen);
+        request.cold_miss |= cold && effect == Effect::Miss;
+        let (node, cold_miss) = (seen.1.node.clone(), request.cold_miss);
+        let mut kind = request.class(&rules);
+        if kind.name.is_empty() {
+            kind = rules.class(&seen.1.class);
+        }
+        let before = std::mem::take(&mut request.attempts);
+        let answer = request.answer.clone();
+        if effect != Effect::Void {
+            self.repeat(&name, &kind, &before, &seen, effect);
+            if let Some(answer) = answer.filter(|(_, a)| a.t.ended + slack < first(&seen).begun) {
+                let what = "sent to a server after its final answer".to_owned();
+                self.accuse(Rule::Answered, "sent-after-answer", &name, what, &[answer, seen.clone()]);
+            }
+            self.drain(&seen, &node);
+            self.arrival(&seen, &node, cold_miss);
+        }
+        if effect == Effect::Ran && !seen.1.token.is_empty() {
+            self.token(&seen);
+        }
+        let request = self.request(&seen);
+        request.attempts = before;
+        request.attempts.push(seen);
+    }
+
+    fn repeat(&mut self, name: &str, kind: &ClassRule, before: &[Seen], seen: &Seen, effect: Effect) {
+        let slack = self.rules.answer_slack_us;
+        let refused = self.requests[name].answer.clone();
+        let refused = refused.filter(|(_, a)| a.outcome == Some(Outcome::Refused));
+        let harmful = kind.kind == Kind::Unsafe || kind.kind == Kind::Keyed && kind.scope != Scope::All;
+        if let Some(answer) = refused.filter(|_| harmful && effect == Effect::Ran) {
+            let what = "refused, as if a retry did no harm, though it ran".to_owned();
+            self.accuse(Rule::Once, "refused-after-run", name, what, &[answer, seen.clone()]);
+        }
+        for earlier in before.iter().filter(|(_, b)| b.effect == Some(Effect::Ran)) {
+            let after = first(seen).begun > earlier.1.t.ended;
+            let ran = effect == Effect::Ran;
+            let pair = [earlier.clone(), seen.clone()];
+            match kind.kind {
+                Kind::Safe => {}
+                Kind::Unsafe if ran || after => {
+                    let what = "an unsafe request was sent again after it had run".to_owned();
+                    self.accuse(Rule::Once, "unsafe-again", name, what, &pair);
+                }
+                Kind::Keyed if (ran || after) && !self.shares(kind.scope, &earlier.1, &seen.1) => {
+                    let what = format!("sent again to {}, which can't know it", seen.1.at());
+                    self.accuse(Rule::Once, "group", name, what, &pair);
+                }
+                Kind::Keyed if first(seen).begun > earlier.1.t.ended + kind.window_us + slack => {
+                    let late = first(seen).begun - earlier.1.t.ended;
+                    let what = format!("sent again {late} us after it ran, past the {} us", kind.window_us);
+                    self.accuse(Rule::Once, "window", name, what, &pair);
+                }
+                Kind::Unsafe | Kind::Keyed => {}
+            }
+        }
+    }
+
+    fn shares(&self, scope: Scope, one: &Line, other: &Line) -> bool {
+        let known = |line: &Line| self.servers.get(line.at()).filter(|s| s.start.is_some());
+        let place = |line: &Line| known(line).map(|s| (s.zone.as_str(), s.cell));
+        match (scope, place(one), place(other)) {
+            (Scope::Zone, Some(one), Some(other)) => one.0 == other.0,
+            (Scope::Cell, Some(one), Some(other)) => one.1 == other.1,
+            // Of servers whose place is not known nothing is proven.
+            _ => true,
+        }
+    }
+
+    fn reply(&mut self, seen: Seen) {
+        let (name, rules) = (seen.1.request.clone(), self.rules.clone());
+        let request = self.request(&seen);
+        if !seen.1.value.is_empty() {
+            request.replies.push(seen.clone());
+        }
+        let own = |a: &&Seen| a.1.at() == seen.1.at() && a.1.number == seen.1.number;
+        let own = request.attempts.iter().find(own).cloned();
+        // Sent again while nobody could know that the first attempt had not run.
+        let blind = own.as_ref().and_then(|own| {
+            let blind = |a: &&Seen| {
+                let surely = own.1.t.ended < first(a).begun && a.1.t.ended < seen.1.t.begun;
+                surely && a.1.effect != Some(Effect::Void)
+            };
+            request.attempts.iter().find(blind).cloned()
+        });
+        let kind = request.class(&rules).kind;
+        if !seen.1.value.is_empty() {
+            self.made.insert(seen.1.value.clone(), name.clone());
+        }
+        if let (Kind::Unsafe, Some(own), Some(blind)) = (kind, own, blind) {
+            let what = "an unsafe request was sent again while its first attempt was out".to_owned();
+            self.accuse(Rule::Once, "unsafe-again", &name, what, &[own, blind, seen]);
+        }
+    }
+
+    /// Counts effects that happened more than once, whoever is to blame.
+    fn token(&mut self, seen: &Seen) {
+        let until = seen.1.t.ended + TOKEN_US;
+        let place = format!("{}#{}", seen.1.at(), seen.1.number);
+        let (last, ran) = self.tokens.entry(seen.1.token.clone()).or_default();
+        *last = until;
+        ran.insert(place);
+        if ran.len() == 2 {
+            self.report.tokens_run_twice += 1;
+        }
+        self.token_due.push_back((until, seen.1.token.clone()));
+    }
+
+    // Rule 3.
+
+    fn drain(&mut self, seen: &Seen, node: &str) {
+        let (grace, server) =
+            (self.rules.drain_grace_us + self.rules.answer_slack_us, seen.1.at().to_owned());
+        let due = seen.1.t.ended + JUDGED_US;
+        let told = self.told.get(&(node.to_owned(), server.clone())).and_then(|t| t.down.clone());
+        if let Some(told) = told.filter(|(_, t)| first(seen).begun > t.t.ended + grace) {
+            return self.suspects.push_back(Suspect { due, seen: seen.clone(), told, by_told: true });
+        }
+        let deemed = self.rules.deemed_told_us;
+        let Some(change) = self.changed.get(&server).and_then(|t| t.down.clone()) else { return };
+        // A node that has just started with an old list is given the same time.
+        let ready = self.nodes.get(node).and_then(|n| n.ready).map_or(0, |ready| ready.ended);
+        let known = change.1.t.ended.max(ready) + deemed;
+        if deemed > 0 && first(seen).begun > known + grace {
+            self.suspects.push_back(Suspect { due, seen: seen.clone(), told: change, by_told: false });
+        }
+    }
+
+    fn judge(&mut self, suspect: Suspect) {
+        let Suspect { seen, told, by_told, .. } = suspect;
+        let key = (seen.1.node.clone(), seen.1.at().to_owned());
+        let now = if by_told { self.told.get(&key) } else { self.changed.get(seen.1.at()) };
+        // It may have been said to run again before the attempt was sent.
+        let cleared = |at: u64| at >= told.1.t.begun && at <= seen.1.t.ended;
+        if now.is_some_and(|t| t.up.iter().copied().any(cleared)) {
+            return;
+        }
+        let late = first(&seen).begun - told.1.t.ended;
+        let how = if by_told { "was told" } else { "counts as told" };
+        let what = format!(
+            "sent to {} at least {late} us after node {} {how} of its {}",
+            key.1, key.0, told.1.status
+        );
+        let name = seen.1.request.clone();
+        self.accuse(Rule::Drained, "drained", &name, what, &[told, seen]);
+    }
+
+    // Rule 4.
+
+    fn arrival(&mut self, seen: &Seen, node: &str, cold_miss: bool) {
+        let (t, work) = (seen.1.t, seen.1.work_us);
+        let Some(server) = self.servers.get_mut(seen.1.at()) else {
+            if seen.1.origin {
+                self.origin(seen, cold_miss);
+            }
+            return;
+        };
+        if seen.1.origin {
+            return self.origin(seen, cold_miss);
+        }
+        if !server.figures().is_some_and(|f| t.begun >= f.2 && t.begun < f.2 + f.3) {
+            return;
+        }
+        let since = server.start.as_ref().map_or(0, |(_, s)| s.since);
+        let deemed = server.start.as_ref().map_or(0, |(_, s)| s.t.ended) + self.rules.deemed_told_us;
+        let told = self.told.get(&(node.to_owned(), seen.1.at().to_owned())).and_then(|t| t.start);
+        let informed = told.is_some_and(|(start, at)| start >= since && at <= t.begun)
+            || self.rules.deemed_told_us > 0 && deemed <= t.begun;
+        let window = self.rules.fall_us;
+        while server.arrivals.front().is_some_and(|a| a.t.begun + window < t.ended) {
+            server.arrivals.pop_front();
+        }
+        let at = server.arrivals.partition_point(|a| a.t.begun <= t.begun);
+        server.arrivals.insert(at, Arrival { t, work, counts: informed, seen: seen.clone() });
+        let (mut sum, mut counted) = (0, 0);
+        let mut breach = None;
+        // The windows that end with this arrival, the shortest first.
+        for arrival in server.arrivals.iter().rev() {
+            sum += arrival.work;
+            counted += if arrival.counts { arrival.work } else { 0 };
+            let able = server.able(arrival.t.begun, window) * self.rules.fall_multiple;
+            let over = sum as f64 > able * (1.0 + self.rules.cold_slack);
+            if over && counted as f64 >= self.rules.informed_part * sum as f64 {
+                breach = Some((sum, able));
+            }
+        }
+        let Some((sum, able)) = breach else { return };
+        let mut lines: Vec<Seen> = server.start.iter().cloned().collect();
+        let arrivals = server.arrivals.iter().filter(|a| a.counts).map(|a| a.seen.clone());
+        lines.extend(ends(arrivals.collect()));
+        let nodes: HashSet<&str> = server.arrivals.iter().map(|a| a.seen.1.node.as_str()).collect();
+        let what = format!(
+            "{} cold got {} ms of work in {} ms from {} nodes, {:.0} ms at the most",
+            seen.1.at(),
+            sum / 1_000,
+            window / 1_000,
+            nodes.len(),
+            able / 1e3
+        );
+        server.arrivals.clear();
+        self.accuse(Rule::Cold, "cold-server", "", what, &lines);
+    }
+
+    fn origin(&mut self, seen: &Seen, cold_miss: bool) {
+        let rule = &self.rules.origin;
+        if rule.capacity_us_per_s <= 0.0 {
+            return;
+        }
+        let able = rule.fall_multiple * rule.capacity_us_per_s / 1e6 * rule.fall_us as f64;
+        let (window, part, t) = (rule.fall_us, rule.cold_part, seen.1.t);
+        let server = self.servers.entry(seen.1.at().into()).or_default();
+        while server.arrivals.front().is_some_and(|a| a.t.begun + window < t.ended) {
+            server.arrivals.pop_front();
+        }
+        let at = server.arrivals.partition_point(|a| a.t.begun <= t.begun);
+        let work = seen.1.work_us;
+        server.arrivals.insert(at, Arrival { t, work, counts: cold_miss, seen: seen.clone() });
+        let (mut sum, mut counted, mut over, mut breach) = (0, 0, false, None);
+        for arrival in server.arrivals.iter().rev() {
+            sum += arrival.work;
+            counted += if arrival.counts { arrival.work } else { 0 };
+            if sum as f64 > able {
+                over = true;
+                breach = (counted as f64 >= part * sum as f64).then_some((sum, counted)).or(breach);
+            }
+        }
+        let Some((sum, counted)) = breach else {
+            // Once for each window of an overload that others brought about.
+            if over && server.overrun.is_none_or(|at| at + window < t.ended) {
+                server.overrun = Some(t.ended);
+                self.report.origin_overruns += 1;
+            }
+            return;
+        };
+        let cold = server.arrivals.iter().filter(|a| a.counts);
+        let lines = ends(cold.map(|a| a.seen.clone()).collect());
+        server.arrivals.clear();
+        let what = format!(
+            "the origin got {} ms of work in {} ms, {:.0} ms at the most, {} ms of it from misses at cold servers",
+            sum / 1_000,
+            window / 1_000,
+            able / 1e3,
+            counted / 1_000
+        );
+        self.accuse(Rule::Cold, "origin", "", what, &lines);
+    }
+
+    // Nodes, and the end of requests.
+
+    fn node(&mut self, seen: Seen) {
+        let node = self.nodes.entry(seen.1.node.clone()).or_default();
+        match seen.1.state.as_str() {
+            "ready" => (node.ready, node.term) = (Some(seen.1.t), None),
+            "term" => node.term = Some(seen),
+            "killed" => {
+                // What it was told is gone with it.
+                let after = node.term.as_ref().map(|(_, t)| seen.1.t.begun.saturating_sub(t.t.ended));
+                if after.is_none_or(|after| after <= self.rules.term_us) {
+                    node.kills.push(seen.clone());
+                    let from = node.kills.len().saturating_sub(8);
+                    node.kills.drain(..from);
+                }
+                self.told.retain(|(name, _), _| *name != seen.1.node);
+            }
+            "exited" => {
+                let expected = node.term.is_some();
+                self.told.retain(|(name, _), _| *name != seen.1.node);
+                if !expected {
+                    let what = format!("node {} ended by itself", seen.1.node);
+                    self.accuse(Rule::Answered, "crashed", "", what, &[seen]);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    /// Ends what is due by a time.
+    fn settle(&mut self, now: u64, last: bool) {
+        while self.suspects.front().is_some_and(|s| s.due <= now) {
+            let Some(suspect) = self.suspects.pop_front() else { break };
+            self.judge(suspect);
+        }
+        while self.due.peek().is_some_and(|Reverse((due, _))| *due <= now) {
+            let Some(Reverse((due, name))) = self.due.pop() else { break };
+            self.end(&name, due, last);
+        }
+        while self.token_due.front().is_some_and(|(due, _)| *due <= now) {
+            let Some((_, token)) = self.token_due.pop_front() else { break };
+            if self.tokens.get(&token).is_some_and(|(until, _)| *until <= now) {
+                self.tokens.remove(&token);
+            }
+        }
+    }
+
+    /// A request's time is over, and all that could come of it has been read.
+    fn end(&mut self, name: &str, due: u64, last: bool) {
+        let Some(request) = self.requests.get(name) else { return };
+        let Some(ask) = request.asks.last().cloned() else {
+            // Never asked in this history: nothing is owed.
+            if last || due <= self.now {
+                self.drop_request(name);
+            }
+            return;
+        };
+        let by = ask.1.until + self.rules.answer_slack_us;
+        if !last && due < by + LINGER_US {
+            return; // It was asked once more meanwhile.
+        }
+        if request.answer.is_none() {
+            // A history that breaks off says nothing of what was still in time.
+            let over = if self.ended { self.now > by } else { self.now > by + JUDGED_US };
+            let node = self.nodes.get(&ask.1.node);
+            let mut kills = node.into_iter().flat_map(|n| &n.kills);
+            let killed = kills.any(|(_, k)| k.t.ended >= ask.1.t.begun && k.t.begun <= by);
+            if request.gone.is_some() || killed {
+                self.report.excused += 1;
+            } else if let Some(closed) = request.closed.clone() {
+                let what = format!("node {} ended its connection with no answer", closed.1.node);
+                self.accuse(Rule::Answered, "lost", name, what, &[ask, closed]);
+            } else if over {
+                let what = format!("node {} gave no answer", ask.1.node);
+                let lines = request.lines();
+                self.accuse(Rule::Answered, "unanswered", name, what, &lines);
+            } else {
+                self.report.unsettled += 1;
+            }
+        }
+        self.drop_request(name);
+    }
+
+    fn drop_request(&mut self, name: &str) {
+        if let Some(request) = self.requests.remove(name) {
+            for (_, reply) in &request.replies {
+                self.made.remove(&reply.value);
+            }
+        }
+    }
+
+    fn accuse(&mut self, rule: Rule, code: &'static str, request: &str, what: String, proof: &[Seen]) {
+        if let Some(held) = self.requests.get_mut(request) {
+            if held.accused.contains(&code) {
+                return;
+            }
+            held.accused.push(code);
+        }
+        self.report.broken += 1;
+        if self.report.findings.len() >= Report::MOST {
+            return;
+        }
+        let mut proof = proof.to_vec();
+        // A request's own first line tells what it was.
+        if let Some(ask) = self.requests.get(request).and_then(|r| r.asks.first()) {
+            proof.push(ask.clone());
+        }
+        proof.sort_by_key(|(number, _)| *number);
+        proof.dedup_by_key(|(number, _)| *number);
+        let evidence = proof
+            .iter()
+            .take(MOST_EVIDENCE)
+            .map(|(number, line)| Evidence { line: *number, text: line.text().trim_end().to_owned() });
+        let evidence = evidence.collect();
+        self.report.findings.push(Finding { rule, code, request: request.into(), what, evidence });
+    }
+}
+
+/// When an attempt's first byte came.
+fn first(seen: &Seen) -> Span {
+    seen.1.first.unwrap_or(seen.1.t)
+}
+
+/// Notes what is said of a server.
+fn note(told: &mut Told, seen: Seen) {
+    if seen.1.status == "active" {
+        told.down = None;
+        told.up.push_back(seen.1.t.begun);
+        if told.up.len() > 8 {
+            told.up.pop_front();
+        }
+        if told.start.is_none_or(|(start, _)| start < seen.1.since) {
+            told.start = Some((seen.1.since, seen.1.t.ended));
+        }
+    } else if told.down.is_none() {
+        told.down = Some(seen);
+    }
+}
+
+/// The first and the last few of many lines.
+fn ends(mut lines: Vec<Seen>) -> Vec<Seen> {
+    if lines.len() > 6 {
+        lines.drain(3..lines.len() - 3);
+    }
+    lines
+}
--- /dev/null
+++ b/crates/stonevane-audit/src/report.rs
@@ -0,0 +1,120 @@
+//! What an audit found.
+
+use std::collections::BTreeMap;
+use std::fmt;
+
+use serde::Serialize;
+
+/// One of the four rules.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Rule {
+    /// Each request taken gets exactly one final answer in time, and no value but one made for it.
+    Answered,
+    /// Nothing that may have run goes out again unless its class allows it.
+    Once,
+    /// Nothing new to a server past its drain's grace.
+    Drained,
+    /// No cold server, and no origin through cold servers' misses, pushed over.
+    Cold,
+}
+
+impl fmt::Display for Rule {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Rule::Answered => "rule 1 (answered once, in time, with its own value)",
+            Rule::Once => "rule 2 (no effect twice)",
+            Rule::Drained => "rule 3 (drains kept)",
+            Rule::Cold => "rule 4 (no cold server pushed over)",
+        })
+    }
+}
+
+/// A line that proves a finding.
+#[derive(Debug, Clone, PartialEq, Serialize)]
+pub struct Evidence {
+    /// Its number in the history, from 1.
+    pub line: usize,
+    /// The line, as far as it matters.
+    pub text: String,
+}
+
+/// A rule broken, and the proof.
+#[derive(Debug, Clone, PartialEq, Serialize)]
+pub struct Finding {
+    /// The rule.
+    pub rule: Rule,
+    /// Which way of breaking it.
+    pub code: &'static str,
+    /// The request, where it is about one.
+    pub request: String,
+    /// What happened, in a sentence.
+    pub what: String,
+    /// The lines that prove it, in their order.
+    pub evidence: Vec<Evidence>,
+}
+
+impl fmt::Display for Finding {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} broken, {}", self.rule, self.code)?;
+        if !self.request.is_empty() {
+            write!(f, ", request {}", self.request)?;
+        }
+        write!(f, ": {}", self.what)?;
+        for evidence in &self.evidence {
+            write!(f, "\n    line {}: {}", evidence.line, evidence.text)?;
+        }
+        Ok(())
+    }
+}
+
+/// The whole verdict.
+#[derive(Debug, Clone, PartialEq, Serialize, Default)]
+pub struct Report {
+    /// Rules broken, in the order in which they were proven; at most [`Report::MOST`] are kept.
+    pub findings: Vec<Finding>,
+    /// How many there were in all.
+    pub broken: usize,
+    /// Events read.
+    pub events: usize,
+    /// Requests asked.
+    pub requests: usize,
+    /// Attempts that came to servers.
+    pub attempts: usize,
+    /// Requests that stood unanswered when the history ended, their time not over yet.
+    pub unsettled: usize,
+    /// Requests that a client left or whose node was killed.
+    pub excused: usize,
+    /// Idempotency keys whose effect happened more than once, whoever sent the repeat.
+    pub tokens_run_twice: usize,
+    /// Times that the origin got more than its budget without its being held against the nodes.
+    pub origin_overruns: usize,
+    /// The most requests and recent ones that were held at once.
+    pub held_at_most: usize,
+    /// Answers by class and outcome.
+    pub answers: BTreeMap<String, [usize; 3]>,
+}
+
+impl Report {
+    /// Findings kept with their proof.
+    pub const MOST: usize = 100;
+
+    /// Whether no rule is broken.
+    pub fn holds(&self) -> bool {
+        self.broken == 0
+    }
+}
+
+impl fmt::Display for Report {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for finding in &self.findings {
+            writeln!(f, "{finding}")?;
+        }
+        let verdict = if self.holds() { "all four rules hold" } else { "rules are broken" };
+        write!(
+            f,
+            "{verdict}: {} breaches in {} events, {} requests, {} attempts ({} excused, {} not settled at the end)",
+            self.broken, self.events, self.requests, self.attempts, self.excused, self.unsettled
+        )
+    }
+}
--- /dev/null
+++ b/crates/stonevane-audit/src/rules.rs
@@ -0,0 +1,114 @@
+//! The figures of the rules, as a history's first line states them.
+
+use serde::{Deserialize, Serialize};
+
+/// What a repeat of a request does.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize, Default)]
+#[serde(rename_all = "snake_case")]
+pub enum Kind {
+    /// Nothing.
+    #[default]
+    Safe,
+    /// Servers of a group drop a repeat for a while.
+    Keyed,
+    /// It happens again.
+    Unsafe,
+}
+
+/// Which servers drop a keyed repeat.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize, Default)]
+#[serde(rename_all = "snake_case")]
+pub enum Scope {
+    /// Every server.
+    #[default]
+    All,
+    /// Those of one zone.
+    Zone,
+    /// Those of one cell.
+    Cell,
+}
+
+/// A class of requests.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize, Default)]
+#[serde(default, deny_unknown_fields)]
+pub struct ClassRule {
+    /// Its name.
+    pub name: String,
+    /// What a repeat does.
+    pub kind: Kind,
+    /// Where repeats are dropped, for keyed classes.
+    pub scope: Scope,
+    /// For how long, microseconds from the first send that may have run.
+    pub window_us: u64,
+}
+
+/// The origin's budget.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct OriginRule {
+    /// Work that it does a second, in microseconds of work; 0 where the origin has no budget.
+    pub capacity_us_per_s: f64,
+    /// It stops when sent more than this multiple of that ...
+    pub fall_multiple: f64,
+    /// ... for this long.
+    pub fall_us: u64,
+    /// Part of that load from misses at cold servers from which it is held against the nodes.
+    pub cold_part: f64,
+}
+
+impl Default for OriginRule {
+    fn default() -> Self {
+        OriginRule { capacity_us_per_s: 0.0, fall_multiple: 2.5, fall_us: 3_000_000, cold_part: 1.0 / 3.0 }
+    }
+}
+
+/// The figures of the four rules. Times in microseconds.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Rules {
+    /// What real sockets are given on top of each time limit.
+    pub answer_slack_us: u64,
+    /// Nothing new to a server later than this after the node was told of its drain or end.
+    pub drain_grace_us: u64,
+    /// What discovery has to tell counts as told after this at the latest; 0: only what it did tell counts.
+    pub deemed_told_us: u64,
+    /// A cold server falls over when sent more than this multiple of its present capacity ...
+    pub fall_multiple: f64,
+    /// ... for this long.
+    pub fall_us: u64,
+    /// Work beyond a cold server's budget that chance may bring, as a part of that budget.
+    pub cold_slack: f64,
+    /// Part of an overload that must come from nodes that know of the start.
+    pub informed_part: f64,
+    /// A kill later than this after SIGTERM excuses nothing that it finds unanswered.
+    pub term_us: u64,
+    /// The classes; a class not named here counts as safe.
+    pub classes: Vec<ClassRule>,
+    /// The origin's budget.
+    pub origin: OriginRule,
+}
+
+impl Default for Rules {
+    fn default() -> Self {
+        Rules {
+            answer_slack_us: 50_000,
+            drain_grace_us: 500_000,
+            deemed_told_us: 6_000_000,
+            fall_multiple: 3.0,
+            fall_us: 2_000_000,
+            cold_slack: 0.05,
+            informed_part: 2.0 / 3.0,
+            term_us: 700_000,
+            classes: Vec::new(),
+            origin: OriginRule::default(),
+        }
+    }
+}
+
+impl Rules {
+    /// The rule of a class.
+    pub fn class(&self, name: &str) -> ClassRule {
+        let known = self.classes.iter().find(|class| class.name == name);
+        known.cloned().unwrap_or_else(|| ClassRule { name: name.into(), ..ClassRule::default() })
+    }
+}
--- /dev/null
+++ b/crates/stonevane-audit/tests/model.rs
@@ -0,0 +1,437 @@
+//! The streaming auditor against a slow and obvious one, on thousands of small random histories.
+#![allow(missing_docs)]
+
+use std::collections::BTreeSet;
+
+use proptest::prelude::*;
+use proptest::test_runner::{RngAlgorithm, TestRng, TestRunner};
+use stonevane_audit::*;
+
+const MS: u64 = 1_000;
+const SLACK: u64 = 50 * MS;
+
+fn rules() -> Rules {
+    let class = |name: &str, kind, scope| ClassRule { name: name.into(), kind, scope, window_us: 200 * MS };
+    Rules {
+        classes: vec![
+            class("read", Kind::Safe, Scope::All),
+            class("edit", Kind::Keyed, Scope::All),
+            class("near", Kind::Keyed, Scope::Zone),
+            class("once", Kind::Unsafe, Scope::All),
+        ],
+        deemed_told_us: 0,
+        origin: OriginRule { capacity_us_per_s: 100_000.0, ..OriginRule::default() },
+        ..Rules::default()
+    }
+}
+
+/// Each event as its kind, place, request, moments and a free figure.
+type Draw = (u8, u8, u8, u64, u64, u8);
+
+const CLASSES: [&str; 4] = ["read", "edit", "near", "once"];
+
+fn line((kind, place, request, begun, width, free): Draw, number: u64) -> Line {
+    let server = ["s0", "s1", "o"][usize::from(place % 3)];
+    let (begun, ended) = (begun, begun + width);
+    let base = Line {
+        t: Span::from((begun, ended)),
+        who: "x".into(),
+        request: format!("r{request}"),
+        node: format!("n{}", place / 3 % 2),
+        ..Line::default()
+    };
+    let at = |base| Line { server: server.into(), ..base };
+    match kind {
+        0..3 => {
+            let class = CLASSES[usize::from(request) % 4].into();
+            let key = format!("k{}", free % 2);
+            Line { event: Event::Ask, class, key, until: ended + 400 * MS, ..base }
+        }
+        3..6 => {
+            let outcome = [Outcome::Served, Outcome::Refused, Outcome::Failed][usize::from(free % 3)];
+            let value = if outcome == Outcome::Served { format!("v{}", free % 8) } else { String::new() };
+            Line { event: Event::Answer, outcome: Some(outcome), value, ..base }
+        }
+        6..10 => {
+            let effect =
+                [Effect::Ran, Effect::Busy, Effect::Miss, Effect::Void, Effect::Dropped, Effect::Ran];
+            let effect = Some(effect[usize::from(free % 6)]);
+            let (origin, work_us) = (server == "o", 150 * MS);
+            // Its class is known from its own line when it comes before what asked for it.
+            let class = CLASSES[usize::from(request) % 4].into();
+            at(Line { event: Event::Attempt, effect, number, origin, work_us, class, ..base })
+        }
+        10 => {
+            let (value, number) = (format!("v{}", free % 8), u64::from(free));
+            at(Line { event: Event::Reply, value, version: u64::from(free % 4), number, ..base })
+        }
+        11 => Line { event: Event::Gone, ..base },
+        12 => Line { event: Event::Closed, kept: true, ..base },
+        13 => {
+            let status = ["active", "leaving", "left"][usize::from(free % 3)].into();
+            at(Line { event: Event::Told, status, since: 1, node: "n0".into(), ..base })
+        }
+        _ => Line { event: Event::Node, node: "n1".into(), state: "killed".into(), ..base },
+    }
+}
+
+fn history(draws: Vec<Draw>) -> Vec<Line> {
+    let start = |server: &str, zone: &str, warm_us| Line {
+        event: Event::Start,
+        server: server.into(),
+        zone: zone.into(),
+        since: 1,
+        capacity_us_per_s: 200_000.0,
+        cold_share: 0.35,
+        warm_us,
+        ..Line::default()
+    };
+    let mut lines = vec![start("s0", "a", 7_500 * MS), start("s1", "b", 0)];
+    let drawn: Vec<_> = draws.into_iter().enumerate().map(|(at, draw)| line(draw, at as u64 % 64)).collect();
+    lines.extend(drawn);
+    lines.sort_by_key(|line| line.t.ended);
+    lines.push(Line { event: Event::End, t: Span::from((60_000 * MS, 60_000 * MS)), ..Line::default() });
+    lines
+}
+
+type Found = BTreeSet<(String, String)>;
+
+/// The whole history, searched anew for each question.
+struct Model<'a> {
+    rules: &'a Rules,
+    lines: &'a [Line],
+}
+
+impl<'a> Model<'a> {
+    /// The lines of an event and a request that stand before a place.
+    fn of(&self, event: Event, request: &str, before: usize) -> Vec<(usize, &'a Line)> {
+        let all = self.lines.iter().enumerate().take(before);
+        all.filter(|(_, l)| l.event == event && l.request == request).collect()
+    }
+
+    fn all(&self, event: Event, request: &str) -> Vec<(usize, &'a Line)> {
+        self.of(event, request, usize::MAX)
+    }
+
+    fn class(&self, request: &str, before: usize) -> ClassRule {
+        let ask = self.of(Event::Ask, request, before).into_iter().next();
+        let attempt = self.of(Event::Attempt, request, before).into_iter().next();
+        self.rules.class(ask.or(attempt).map_or("", |(_, l)| &l.class))
+    }
+
+    /// The version that an answer showed, where a server made it for this request.
+    fn shown(&self, answer: usize) -> Option<u64> {
+        let l = &self.lines[answer];
+        let replies = self.of(Event::Reply, &l.request, answer);
+        replies.into_iter().find(|(_, r)| r.value == l.value).map(|(_, r)| r.version)
+    }
+
+    /// Whether it is its request's first answer, and served.
+    fn served(&self, at: usize) -> bool {
+        let l = &self.lines[at];
+        l.event == Event::Answer
+            && l.outcome == Some(Outcome::Served)
+            && self.all(Event::Answer, &l.request)[0].0 == at
+    }
+
+    fn stale(&self, at: usize, version: u64) -> bool {
+        let asks = |at: usize| self.of(Event::Ask, &self.lines[at].request, at).into_iter().next();
+        let Some((_, asked)) = asks(at) else { return false };
+        (0..at).any(|e| {
+            self.served(e)
+                && self.class(&self.lines[e].request, e).kind != Kind::Safe
+                && asks(e).is_some_and(|(_, ask)| ask.key == asked.key)
+                && self.lines[e].t.ended < asked.t.begun
+                && self.shown(e).is_some_and(|new| new > version)
+        })
+    }
+
+    fn zone(line: &Line) -> Option<&'static str> {
+        match line.at() {
+            "s0" => Some("a"),
+            "s1" => Some("b"),
+            _ => None,
+        }
+    }
+
+    fn found(&self) -> Found {
+        let mut found = Found::new();
+        let mut add = |code: &str, request: &str| {
+            found.insert((code.into(), request.into()));
+        };
+        for (i, l) in self.lines.iter().enumerate() {
+            let r = l.request.as_str();
+            let class = self.class(r, i + 1);
+            let harmful =
+                class.kind == Kind::Unsafe || class.kind == Kind::Keyed && class.scope != Scope::All;
+            let attempts = self.of(Event::Attempt, r, i);
+            let ran = |a: &&Line| a.effect == Some(Effect::Ran);
+            match l.event {
+                Event::Ask => {
+                    // Sent once more after a close that had read it.
+                    let closes = self.of(Event::Closed, r, i);
+                    let asks = self.of(Event::Ask, r, i);
+                    let since = asks.last().map_or(0, |(at, _)| *at);
+                    let answered = |at: usize| !self.of(Event::Answer, r, at).is_empty();
+                    let closed = closes.iter().any(|(at, _)| *at > since && !answered(*at));
+                    let read = attempts.iter().any(|(_, a)| a.t.ended < l.t.begun);
+                    if !asks.is_empty() && closed && read {
+                        add("lost", r);
+                    }
+                }
+                Event::Answer if self.all(Event::Answer, r)[0].0 != i => add("twice", r),
+                Event::Answer => {
+                    let ask = self.of(Event::Ask, r, i);
+                    if ask.last().is_some_and(|(_, ask)| l.t.begun > ask.until + SLACK) {
+                        add("late", r);
+                    }
+                    match (l.outcome, self.shown(i)) {
+                        (Some(Outcome::Refused), _) if harmful && attempts.iter().any(|(_, a)| ran(a)) => {
+                            add("refused-after-run", r);
+                        }
+                        (Some(Outcome::Served), None) => add("value", r),
+                        (Some(Outcome::Served), Some(version))
+                            if class.kind == Kind::Safe && self.stale(i, version) =>
+                        {
+                            add("stale", r);
+                        }
+                        _ => {}
+                    }
+                }
+                Event::Attempt if l.effect != Some(Effect::Void) => {
+                    let answers = self.of(Event::Answer, r, i);
+                    if let Some((_, answer)) = answers.first() {
+                        if answer.outcome == Some(Outcome::Refused) && harmful && ran(&l) {
+                            add("refused-after-run", r);
+                        }
+                        if answer.t.ended + SLACK < l.t.begun {
+                            add("sent-after-answer", r);
+                        }
+                    }
+                    for (_, earlier) in attempts.iter().filter(|(_, a)| ran(a)) {
+                        let after = l.t.begun > earlier.t.ended;
+                        let (one, other) = (Model::zone(earlier), Model::zone(l));
+                        let apart =
+                            class.scope == Scope::Zone && one.is_some() && other.is_some() && one != other;
+                        if class.kind == Kind::Unsafe && (ran(&l) || after) {
+                            add("unsafe-again", r);
+                        }
+                        if class.kind == Kind::Keyed && (ran(&l) || after) && apart {
+                            add("group", r);
+                        } else if class.kind == Kind::Keyed
+                            && l.t.begun > earlier.t.ended + class.window_us + SLACK
+                        {
+                            add("window", r);
+                        }
+                    }
+                    self.drain(i, &mut add);
+                }
+                Event::Reply if class.kind == Kind::Unsafe => {
+                    let own = attempts.iter().find(|(_, a)| a.at() == l.at() && a.number == l.number);
+                    let blind = |a: &Line, own: &Line| {
+                        own.t.ended < a.t.begun && a.t.ended < l.t.begun && a.effect != Some(Effect::Void)
+                    };
+                    if own.is_some_and(|(_, own)| attempts.iter().any(|(_, a)| blind(a, own))) {
+                        add("unsafe-again", r);
+                    }
+                }
+                _ => {}
+            }
+        }
+        self.ends(&mut add);
+        for server in ["s0", "o"] {
+            self.budget(server, &mut add);
+        }
+        found
+    }
+
+    fn drain(&self, i: usize, add: &mut impl FnMut(&str, &str)) {
+        let l = &self.lines[i];
+        let told = |j: &usize| {
+            let t = &self.lines[*j];
+            t.event == Event::Told && t.node == l.node && t.at() == l.at()
+        };
+        // The first word of its end since it last ran.
+        let last_up = (0..i).filter(told).rfind(|j| self.lines[*j].status == "active").map_or(0, |j| j + 1);
+        let Some(down) = (last_up..i).find(told).map(|j| &self.lines[j]) else { return };
+        let judged = self.lines.partition_point(|t| t.t.ended < l.t.ended + 1_000 * MS);
+        let cleared = (0..judged)
+            .filter(told)
+            .map(|j| &self.lines[j])
+            .any(|t| t.status == "active" && t.t.begun >= down.t.begun && t.t.begun <= l.t.ended);
+        if l.t.begun > down.t.ended + 550 * MS && !cleared {
+            add("drained", &l.request);
+        }
+    }
+
+    fn ends(&self, add: &mut impl FnMut(&str, &str)) {
+        let names: BTreeSet<&str> = self.lines.iter().map(|l| l.request.as_str()).collect();
+        for r in names {
+            let Some((at, ask)) = self.all(Event::Ask, r).last().copied() else { continue };
+            let by = ask.until + SLACK;
+            let kills = self.lines.iter().filter(|l| l.event == Event::Node && l.node == ask.node);
+            let killed = kills.clone().any(|k| k.t.ended >= ask.t.begun && k.t.begun <= by);
+            let excused = killed || !self.all(Event::Gone, r).is_empty();
+            if !self.all(Event::Answer, r).is_empty() || excused {
+                continue;
+            }
+            let closed = self.all(Event::Closed, r).iter().any(|(j, _)| *j > at);
+            add(if closed { "lost" } else { "unanswered" }, r);
+        }
+    }
+
+    /// Every window of a server, from each arrival on.
+    fn budget(&self, server: &str, add: &mut impl FnMut(&str, &str)) {
+        let came =
+            self.lines.iter().enumerate().filter(|(_, l)| {
+                l.event == Event::Attempt && l.at() == server && l.effect != Some(Effect::Void)
+            });
+        let came: Vec<_> = came.collect();
+        let origin = server == "o";
+        let window = if origin { self.rules.origin.fall_us } else { self.rules.fall_us };
+        for (last, (_, end)) in came.iter().enumerate() {
+            for (_, from) in &came {
+                if from.t.begun + window < end.t.ended {
+                    continue;
+                }
+                // In small steps: an integral for those who don't trust the other.
+                let able: f64 = match origin {
+                    true => window as f64 * 0.1 * 2.5,
+                    false => {
+                        let part = |at: u64| 0.35 + 0.65 * (at as f64 / 7_500_000.0).min(1.0);
+                        let steps = (0..window / 10_000)
+                            .map(|s| part(from.t.begun + s * 10_000 + 5_000) * 0.2 * 10_000.0);
+                        steps.sum::<f64>() * 3.0 * 1.05
+                    }
+                };
+                let within = came[..=last].iter().filter(|(_, a)| a.t.begun >= from.t.begun);
+                let (mut sum, mut counted) = (0.0, 0.0);
+                for (j, a) in within {
+                    sum += a.work_us as f64;
+                    let cold = |(k, m): &(usize, &Line)| {
+                        *k <= *j && m.at() == "s0" && m.effect == Some(Effect::Miss) && m.t.ended < 7_500_000
+                    };
+                    let told = self.lines.iter().take(*j).any(|t| {
+                        t.event == Event::Told
+                            && t.node == a.node
+                            && t.at() == server
+                            && t.status == "active"
+                            && t.t.ended <= a.t.begun
+                    });
+                    let counts = match origin {
+                        true => self.all(Event::Attempt, &a.request).iter().any(cold),
+                        false => told,
+                    };
+                    counted += if counts { a.work_us as f64 } else { 0.0 };
+                }
+                let part = if origin { 1.0 / 3.0 } else { 2.0 / 3.0 };
+                if sum > able && counted >= part * sum {
+                    add(if origin { "origin" } else { "cold-server" }, "");
+                }
+            }
+        }
+    }
+}
+
+/// What a history is mostly about.
+#[derive(Clone, Copy, PartialEq)]
+enum About {
+    Everything,
+    Load,
+    Values,
+}
+
+fn draws(about: About) -> impl Strategy<Value = Vec<Draw>> {
+    // Moments on a coarse grid and its neighbours, so that bounds are met to the microsecond.
+    let moment = (0u64..80, 0u64..3).prop_map(|(slot, off)| 10_000 + slot * 50 * MS + off);
+    let width = prop_oneof![Just(0u64), Just(1), Just(30 * MS), Just(200 * MS)];
+    let kind = match about {
+        About::Everything => (0u8..15).boxed(),
+        About::Load => (6u8..10).boxed(),
+        About::Values => prop_oneof![Just(0u8), Just(3), Just(10)].boxed(),
+    };
+    let place = match about {
+        About::Load => prop_oneof![Just(0u8), Just(2), Just(3)].boxed(),
+        _ => (0u8..6).boxed(),
+    };
+    let requests = match about {
+        About::Everything => 0u8..4,
+        About::Load => 0u8..40,
+        About::Values => 0u8..2,
+    };
+    let free = match about {
+        About::Values => prop_oneof![Just(0u8), Just(6), Just(18)].boxed(),
+        _ => (0u8..24).boxed(),
+    };
+    let event = (kind, place, requests, moment, width, free);
+    if about == About::Values {
+        // An edit and then a read, each asked, made and answered, in nearly this order.
+        let steps = [(0u8, 1u8), (10, 1), (3, 1), (0, 0), (10, 0), (3, 0)];
+        let drawn =
+            proptest::collection::vec((0u64..5, 0u64..3, prop_oneof![Just(0u8), Just(18)]), steps.len());
+        let skeleton = drawn.prop_map(move |drawn| {
+            let moments = steps.into_iter().zip(drawn).enumerate();
+            let event = |(at, ((kind, request), (late, off, free)))| {
+                (kind, 0, request, 10_000 + (2 * at as u64 + late) * 50 * MS + off, 0, free)
+            };
+            moments.map(event).collect::<Vec<Draw>>()
+        });
+        let noise = proptest::collection::vec(event, 0..3);
+        return (skeleton, noise)
+            .prop_map(|(mut all, noise)| {
+                all.extend(noise);
+                all
+            })
+            .boxed();
+    }
+    proptest::collection::vec(event, 1..40).boxed()
+}
+
+fn compare(about: About, cases: u32) -> BTreeSet<String> {
+    let config = ProptestConfig { cases, failure_persistence: None, ..ProptestConfig::default() };
+    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[7; 32]);
+    let mut runner = TestRunner::new_with_rng(config, rng);
+    let seen = std::cell::RefCell::new(BTreeSet::new());
+    let rules = rules();
+    let ran = runner.run(&draws(about), |draws| {
+        let lines = history(draws);
+        let mut auditor = Auditor::new(rules.clone());
+        lines.iter().enumerate().for_each(|(at, line)| auditor.line(at + 2, line.clone()));
+        let report = auditor.finish();
+        let fast: Found = report.findings.iter().map(|f| (f.code.to_owned(), f.request.clone())).collect();
+        let slow = Model { rules: &rules, lines: &lines }.found();
+        seen.borrow_mut().extend(slow.iter().map(|(code, _)| code.clone()));
+        let text: Vec<_> = lines.iter().map(|l| l.text()).collect();
+        prop_assert_eq!(fast, slow, "\n{}", text.concat());
+        Ok(())
+    });
+    if let Err(e) = ran {
+        panic!("{e}");
+    }
+    seen.into_inner()
+}
+
+#[test]
+fn the_auditor_says_what_the_slow_model_says() {
+    let mut seen = compare(About::Everything, 3_000);
+    seen.extend(compare(About::Load, 400));
+    seen.extend(compare(About::Values, 3_000));
+    let all = [
+        "twice",
+        "late",
+        "value",
+        "stale",
+        "lost",
+        "unanswered",
+        "refused-after-run",
+        "unsafe-again",
+        "window",
+        "group",
+        "sent-after-answer",
+        "drained",
+        "cold-server",
+        "origin",
+    ];
+    let missing: Vec<_> = all.into_iter().filter(|code| !seen.contains(*code)).collect();
+    assert!(missing.is_empty(), "never drawn, so never compared: {missing:?}");
+}
