--- a/crates/stonevane-audit/src/history.rs
+++ b/crates/stonevane-audit/src/history.rs
@@ -277,54 +277,65 @@
     }
 }
 
-/// Audits a history from its text. Memory grows with what is open, not with the history.
+/// Reads a history line by line, each with its number from 1. A last line that was cut off, as by a kill during
+/// its write, is left out: what stands before it is whole.
 ///
 /// # Errors
 /// [`HistoryError`] where the text can't be read or is no history.
-pub fn audit(mut text: impl BufRead) -> Result<Report, HistoryError> {
-    let mut auditor: Option<Auditor> = None;
-    let mut waiting: BinaryHeap<Waiting> = BinaryHeap::new();
+pub fn read(mut text: impl BufRead, mut each: impl FnMut(usize, Line)) -> Result<(), HistoryError> {
     let mut buffer = Vec::new();
-    let (mut number, mut latest) = (0, 0);
+    let mut number = 0;
+    let mut begun = false;
     loop {
         buffer.clear();
         let got = (&mut text).take(MAX_LINE as u64 + 1).read_until(b'\n', &mut buffer);
         if got.map_err(HistoryError::Io)? == 0 {
-            break;
+            return if begun { Ok(()) } else { Err(HistoryError::Empty) };
         }
         number += 1;
         if buffer.len() > MAX_LINE {
             return Err(HistoryError::Line(number, format!("longer than {MAX_LINE} bytes")));
         }
-        let whole = buffer.last() == Some(&b'\n');
         if buffer.trim_ascii().is_empty() {
             continue;
         }
         let line: Line = match serde_json::from_slice(&buffer) {
             Ok(line) => line,
-            // Cut off by a kill during its write: it tells nothing, and what stands before it is whole.
-            Err(_) if !whole && auditor.is_some() => break,
+            Err(_) if begun && buffer.last() != Some(&b'\n') => return Ok(()),
             Err(e) => {
                 let text = e.to_string();
                 let why = text.split(" at line ").next().unwrap_or("");
                 return Err(HistoryError::Line(number, format!("column {}: {why}", e.column())));
             }
         };
-        match &mut auditor {
-            None => {
-                let rules = line.rules.filter(|_| line.event == Event::Begin).ok_or(HistoryError::NoRules)?;
-                auditor = Some(Auditor::new(*rules));
-            }
-            Some(auditor) => {
-                latest = latest.max(line.t.ended);
-                waiting.push(Waiting(line.t.ended, number, Box::new(line)));
-                while waiting.peek().is_some_and(|w| w.0 + REORDER_US < latest) {
-                    let Some(Waiting(_, number, line)) = waiting.pop() else { break };
-                    auditor.line(number, *line);
-                }
-            }
+        if !begun && (line.event != Event::Begin || line.rules.is_none()) {
+            return Err(HistoryError::NoRules);
         }
+        begun = true;
+        each(number, line);
     }
+}
+
+/// Audits a history from its text. Memory grows with what is open, not with the history.
+///
+/// # Errors
+/// [`HistoryError`] where the text can't be read or is no history.
+pub fn audit(text: impl BufRead) -> Result<Report, HistoryError> {
+    let mut auditor: Option<Auditor> = None;
+    let mut waiting: BinaryHeap<Waiting> = BinaryHeap::new();
+    let mut latest = 0;
+    read(text, |number, mut line| {
+        let Some(auditor) = &mut auditor else {
+            auditor = Some(Auditor::new(*line.rules.take().unwrap_or_default()));
+            return;
+        };
+        latest = latest.max(line.t.ended);
+        waiting.push(Waiting(line.t.ended, number, Box::new(line)));
+        while waiting.peek().is_some_and(|w| w.0 + REORDER_US < latest) {
+            let Some(Waiting(_, number, line)) = waiting.pop() else { break };
+            auditor.line(number, *line);
+        }
+    })?;
     let mut auditor = auditor.ok_or(HistoryError::Empty)?;
     while let Some(Waiting(_, number, line)) = waiting.pop() {
         auditor.line(number, *line);
--- a/crates/stonevane-codec/src/http.rs
+++ b/crates/stonevane-codec/src/http.rs
@@ -1,4 +1,4 @@
-//! What the node needs of HTTP/1.1 as a client: the head of an answer and chunked bodies.
+//! HTTP/1.1: heads of requests and answers, and chunked bodies (RFC 9112).
 
 use bytes::{Buf, BytesMut};
 
@@ -46,13 +46,7 @@
         let value = std::str::from_utf8(header.value).unwrap_or("").trim();
         match header.name.to_ascii_lowercase().as_str() {
             "content-length" => {
-                // Against lengths that two readers would read differently: signs, and two that differ.
-                let digits = !value.is_empty() && value.bytes().all(|byte| byte.is_ascii_digit());
-                let length = value.parse().ok().filter(|_| digits).ok_or(Malformed)?;
-                if head.content_length.is_some_and(|before| before != length) {
-                    return Err(Malformed);
-                }
-                head.content_length = Some(length);
+                head.content_length = Some(stated(value, head.content_length)?);
             }
             "transfer-encoding" if value.eq_ignore_ascii_case("chunked") && !head.chunked => {
                 head.chunked = true;
@@ -71,6 +65,66 @@
     Ok(Some(head))
 }
 
+/// A stated length, and no other than one stated before. Against lengths that two readers would read
+/// differently: signs, and two that differ (RFC 9112, 6.3).
+fn stated(value: &str, before: Option<usize>) -> Result<usize, Malformed> {
+    let digits = !value.is_empty() && value.bytes().all(|byte| byte.is_ascii_digit());
+    let length = value.parse().ok().filter(|_| digits).ok_or(Malformed)?;
+    if before.is_some_and(|before| before != length) { Err(Malformed) } else { Ok(length) }
+}
+
+/// The head of a request.
+#[derive(Debug, Default, PartialEq)]
+pub struct RequestHead {
+    /// Its bytes.
+    pub length: usize,
+    /// The method, as it was written.
+    pub method: String,
+    /// The target, as it was written.
+    pub target: String,
+    /// Names in lower case, and values.
+    pub headers: Vec<(String, String)>,
+    /// The stated length of the body.
+    pub content_length: Option<usize>,
+}
+
+impl RequestHead {
+    /// The first header of a name that is given in lower case.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers.iter().find(|(known, _)| known == name).map(|(_, value)| value.as_str())
+    }
+}
+
+/// Reads a request's head at the front of a buffer; `None` while it is not all there.
+///
+/// # Errors
+/// [`Malformed`] for what is no head, is too long, or states its body's length in two ways (RFC 9112, 6.3).
+/// Bodies in chunks are not read here.
+pub fn request_head(buffer: &[u8]) -> Result<Option<RequestHead>, Malformed> {
+    let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
+    let mut request = httparse::Request::new(&mut headers);
+    let length = match request.parse(buffer) {
+        Ok(httparse::Status::Complete(length)) => length,
+        Ok(httparse::Status::Partial) if buffer.len() <= MAX_HEAD => return Ok(None),
+        _ => return Err(Malformed),
+    };
+    let (method, target) = (request.method.unwrap_or("").into(), request.path.unwrap_or("").into());
+    let mut head = RequestHead { length, method, target, ..RequestHead::default() };
+    for header in request.headers.iter() {
+        let value = std::str::from_utf8(header.value).map_err(|_| Malformed)?.trim();
+        let name = header.name.to_ascii_lowercase();
+        match name.as_str() {
+            "content-length" => {
+                head.content_length = Some(stated(value, head.content_length)?);
+            }
+            "transfer-encoding" => return Err(Malformed),
+            _ => {}
+        }
+        head.headers.push((name, value.into()));
+    }
+    Ok(Some(head))
+}
+
 /// Takes chunks apart as they come.
 #[derive(Default)]
 pub struct Chunks {
--- /dev/null
+++ b/crates/stonevane-config/tests/faults.rs
@@ -0,0 +1,71 @@
+//! Every fault of a file is told, each with its place, and nothing that is written panics.
+#![allow(missing_docs)]
+
+use proptest::prelude::*;
+use stonevane_config::operator::{Operator, Servers};
+
+#[test]
+fn a_file_that_sets_nothing_changes_nothing() {
+    assert_eq!(Operator::parse(""), Ok(Operator::default()));
+    assert_eq!(Operator::parse("# all off\nversion = 1\n[clients]\n"), Ok(Operator::default()));
+    let shipped = include_str!("../../../deploy/operator.toml");
+    assert_eq!(Operator::parse(shipped), Ok(Operator::default()), "the file that is shipped is all off");
+}
+
+#[test]
+fn what_the_shipped_file_offers_is_known_and_is_the_default() {
+    let shipped = include_str!("../../../deploy/operator.toml");
+    let set = |line: &&str| line.contains(" = ") || line.starts_with('[');
+    let on = shipped.lines().map(|line| line.strip_prefix("# ").filter(set).unwrap_or(line));
+    let on: Vec<_> = on.collect();
+    assert!(on.iter().filter(|line| line.contains(" = ")).count() > 4);
+    assert_eq!(Operator::parse(&on.join("\n")), Ok(Operator::default()));
+}
+
+#[test]
+fn all_faults_are_listed_with_their_places_and_the_nearest_names() {
+    let text = "version = 2\nclents = 1\n[clients]\nidle_ms = \"long\"\nfrist_ms = 3\nwhole_ms = 0\n[servers]\nrest_ms = -1\n";
+    let faults = Operator::parse(text).unwrap_err();
+    let lines: Vec<_> = faults.iter().map(ToString::to_string).collect();
+    assert_eq!(
+        lines,
+        [
+            "line 1, column 11: `version` is to be from 1 to 1",
+            "line 2, column 1: unknown key `clents` in the file; did you mean `clients`?",
+            "line 4, column 11: `idle_ms` is to be a whole number, and is a text",
+            "line 5, column 1: unknown key `frist_ms` in [clients]; did you mean `first_ms`?",
+            "line 6, column 12: `whole_ms` is to be from 10 to 3600000",
+            "line 8, column 11: `rest_ms` is to be from 0 to 1000",
+        ]
+    );
+}
+
+#[test]
+fn what_can_not_be_parsed_is_told_with_its_place_and_the_rest_is_still_read() {
+    let faults = Operator::parse("[clients]\nidle_ms = = 3\n[servers]\nrest = 3\n").unwrap_err();
+    assert!(faults.iter().any(|f| f.line == 2), "{faults:?}");
+    assert!(faults.iter().any(|f| f.line == 4 && f.what.contains("rest_ms")), "{faults:?}");
+    let crossed = Operator::parse("[clients]\nspare_ms = 9000\nidle_ms = 50\n").unwrap_err();
+    assert_eq!(crossed[0].to_string(), "line 2, column 12: `spare_ms` is to be at most `idle_ms`, 50");
+    assert!(Operator::parse(&"#".repeat(2 << 20)).is_err());
+}
+
+#[test]
+fn what_is_set_is_in_force() {
+    let set = Operator::parse("[servers]\nrest_ms = 0x10\n").unwrap();
+    assert_eq!(set.servers, Servers { rest: std::time::Duration::from_millis(16) });
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 2000,
+        failure_persistence: None,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(7),
+        ..ProptestConfig::default() })]
+    #[test]
+    fn nothing_that_is_written_panics(text in "([\\[\\]=\"a-z_0-9.\\n é#{},-]|clients|idle_ms|rest_ms){0,60}") {
+        if let Err(faults) = Operator::parse(&text) {
+            let lines = text.matches('\n').count() + 1;
+            prop_assert!(faults.iter().all(|f| f.line <= lines && f.column >= 1 && !f.what.contains('\n')));
+        }
+    }
+}
--- /dev/null
+++ b/crates/stonevane-lab/src/lib.rs
@@ -0,0 +1,35 @@
+//! The lab: real nodes between stand-ins on loopback, a load and faults by script, and the auditor's verdict.
+//!
+//! A [`Scenario`] is read from a file; [`run`] plays it once with a seed. All figures come from the history
+//! that the stand-ins write, so that a kept history tells the same again.
+
+pub mod chart;
+mod crooked;
+mod fleet;
+mod nodes;
+mod run;
+pub mod scenario;
+mod summary;
+
+pub use crooked::Crime;
+pub use fleet::{Fleet, lab_ip};
+pub use nodes::Kind;
+pub use run::{Options, Outcome, RunError, run};
+pub use scenario::Scenario;
+pub use summary::{Summary, summarise};
+
+/// The scenarios that come with the lab: their names and texts.
+pub const SCENARIOS: [(&str, &str); 12] = [
+    ("calm", include_str!("../scenarios/calm.toml")),
+    ("kill-cache", include_str!("../scenarios/kill-cache.toml")),
+    ("vanish", include_str!("../scenarios/vanish.toml")),
+    ("refuse-reset", include_str!("../scenarios/refuse-reset.toml")),
+    ("half-told", include_str!("../scenarios/half-told.toml")),
+    ("spoilt", include_str!("../scenarios/spoilt.toml")),
+    ("drain", include_str!("../scenarios/drain.toml")),
+    ("discovery", include_str!("../scenarios/discovery.toml")),
+    ("node-kill", include_str!("../scenarios/node-kill.toml")),
+    ("node-term", include_str!("../scenarios/node-term.toml")),
+    ("partition", include_str!("../scenarios/partition.toml")),
+    ("full-table", include_str!("../scenarios/full-table.toml")),
+];
--- /dev/null
+++ b/crates/stonevane-lab/src/nodes.rs
@@ -0,0 +1,206 @@
+//! The nodes of a fleet: real processes, or little ones of our own that break a rule.
+
+use std::io;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::time::Duration;
+
+use rustix::process::{Pid, Signal, kill_process};
+use stonevane_audit::{Event, Line, Span};
+use stonevane_standin::{Mono, Recorder};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::sync::watch;
+
+use crate::crooked::{Crime, Little};
+
+/// What stands in the nodes' places.
+#[derive(Debug, Clone)]
+pub enum Kind {
+    /// The program at this path.
+    Process(PathBuf),
+    /// A little node of our own, which is honest or breaks a rule on purpose.
+    Little(Crime),
+}
+
+/// A node and its present life.
+pub struct Node {
+    /// Its name.
+    pub name: String,
+    /// Where clients connect.
+    pub listen: SocketAddr,
+    kind: Kind,
+    little: Little,
+    folder: PathBuf,
+    life: Option<Life>,
+    recorder: Recorder,
+}
+
+enum Life {
+    Process(Child),
+    Little(watch::Sender<bool>),
+}
+
+impl Drop for Life {
+    fn drop(&mut self) {
+        // A lab that is interrupted ends every process that it started.
+        if let Life::Process(child) = self {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+}
+
+/// A node that did not become ready.
+#[derive(Debug)]
+pub struct NotReady {
+    /// Which.
+    pub node: String,
+    /// The last lines of its log.
+    pub log: String,
+}
+
+impl Node {
+    /// A node that has not started yet.
+    pub fn new(kind: Kind, little: Little, folder: &Path, recorder: Recorder) -> Node {
+        let (name, listen) = (little.name.clone(), little.listen);
+        Node { name, listen, kind, little, folder: folder.into(), life: None, recorder }
+    }
+
+    fn line(&self, t: Span, state: &str) {
+        self.recorder.line(Line {
+            t,
+            who: "lab".into(),
+            event: Event::Node,
+            node: self.name.clone(),
+            state: state.into(),
+            ..Line::default()
+        });
+    }
+
+    /// Starts it with a configuration.
+    ///
+    /// # Errors
+    /// What kept it from starting.
+    pub async fn start(&mut self, config: &str) -> io::Result<()> {
+        match &self.kind {
+            Kind::Process(program) => {
+                let path = self.folder.join(format!("{}.json", self.name));
+                std::fs::write(&path, config)?;
+                let log = std::fs::File::options()
+                    .create(true)
+                    .append(true)
+                    .open(self.folder.join(format!("{}.log", self.name)))?;
+                let child = Command::new(program)
+                    .env("ROUTER_CONFIG", &path)
+                    .env_remove("ROUTER_LISTEN")
+                    .env_remove("ROUTER_DISCOVERY")
+                    .stdin(Stdio::null())
+                    .stdout(Stdio::null())
+                    .stderr(log)
+                    .spawn()?;
+                self.life = Some(Life::Process(child));
+            }
+            Kind::Little(crime) => {
+                let (end, ended) = watch::channel(false);
+                let listener = tokio::net::TcpListener::bind(self.listen).await?;
+                tokio::spawn(self.little.clone().run(listener, *crime, ended));
+                self.life = Some(Life::Little(end));
+            }
+        }
+        Ok(())
+    }
+
+    /// Waits until it answers that it is ready.
+    ///
+    /// # Errors
+    /// [`NotReady`] with the end of its log after ten seconds.
+    pub async fn ready(&mut self) -> Result<(), NotReady> {
+        let end = Mono::now() + 10_000_000;
+        while Mono::now() < end {
+            let begun = Mono::now();
+            if ping(self.listen).await.unwrap_or(false) {
+                self.line(Span { begun, ended: Mono::now() }, "ready");
+                return Ok(());
+            }
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+        Err(NotReady { node: self.name.clone(), log: self.log_end() })
+    }
+
+    /// The last lines of its log.
+    pub fn log_end(&self) -> String {
+        let text =
+            std::fs::read_to_string(self.folder.join(format!("{}.log", self.name))).unwrap_or_default();
+        let lines: Vec<_> = text.lines().rev().take(5).collect();
+        lines.into_iter().rev().collect::<Vec<_>>().join("\n")
+    }
+
+    /// Its process, where it is one that runs.
+    pub fn pid(&self) -> Option<u32> {
+        match &self.life {
+            Some(Life::Process(child)) => Some(child.id()),
+            _ => None,
+        }
+    }
+
+    /// Kills it.
+    pub fn kill(&mut self) {
+        let begun = Mono::now();
+        if let Some(Life::Process(child)) = &mut self.life {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+        self.life = None;
+        self.line(Span { begun, ended: Mono::now() }, "killed");
+    }
+
+    /// Asks it to end.
+    pub fn term(&mut self) {
+        let begun = Mono::now();
+        match &self.life {
+            Some(Life::Process(child)) => {
+                if let Some(pid) = i32::try_from(child.id()).ok().and_then(Pid::from_raw) {
+                    let _ = kill_process(pid, Signal::TERM);
+                }
+            }
+            Some(Life::Little(end)) => drop(end.send(true)),
+            None => return,
+        }
+        self.line(Span { begun, ended: Mono::now() }, "term");
+    }
+
+    /// Whether it has ended, and how; a little node ends at once.
+    pub fn ended(&mut self) -> Option<Option<ExitStatus>> {
+        match &mut self.life {
+            Some(Life::Process(child)) => child.try_wait().ok().flatten().map(Some),
+            Some(Life::Little(end)) => (*end.borrow()).then_some(None),
+            None => Some(None),
+        }
+    }
+
+    /// Notes that it has ended. A process that was asked to and did not exit with 0 has crashed.
+    pub fn note_end(&mut self, status: Option<ExitStatus>) {
+        if self.life.take().is_none() {
+            return;
+        }
+        if status.is_some_and(|status| !status.success()) {
+            self.line(Mono::at(), "crashed");
+        }
+        self.line(Mono::at(), "exited");
+    }
+
+    /// Whether it lives.
+    pub fn lives(&self) -> bool {
+        self.life.is_some()
+    }
+}
+
+async fn ping(address: SocketAddr) -> io::Result<bool> {
+    let mut stream = TcpStream::connect(address).await?;
+    stream.write_all(b"*1\r\n$4\r\nPING\r\n").await?;
+    let mut answer = [0; 7];
+    let read = tokio::time::timeout(Duration::from_secs(1), stream.read_exact(&mut answer)).await;
+    Ok(matches!(read, Ok(Ok(_))) && &answer == b"+PONG\r\n")
+}
--- /dev/null
+++ b/crates/stonevane-lab/src/run.rs
@@ -0,0 +1,222 @@
+//! One run of a scenario, from its first process to its verdict.
+
+use std::fmt;
+use std::fs::File;
+use std::io::{self, BufReader, Write};
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde::Serialize;
+use stonevane_audit::{Event, HistoryError, Line, Report, Rules, audit};
+use stonevane_standin::client::{Clients, plan};
+use stonevane_standin::{Mono, Recorder};
+
+use crate::fleet::{Fleet, rules};
+use crate::nodes::Kind;
+use crate::scenario::{Expect, Scenario};
+use crate::summary::{Summary, summarise};
+
+/// How to run a scenario.
+#[derive(Debug, Clone)]
+pub struct Options {
+    /// Another seed than the scenario's.
+    pub seed: Option<u64>,
+    /// Another number of nodes.
+    pub nodes: Option<usize>,
+    /// What stands in the nodes' places.
+    pub kind: Kind,
+    /// Where the history is kept; else it goes when the verdict is there.
+    pub history: Option<PathBuf>,
+    /// Whether progress goes to standard error.
+    pub progress: bool,
+}
+
+/// What a run showed.
+#[derive(Debug, Clone, Serialize)]
+pub struct Outcome {
+    /// The scenario's name.
+    pub scenario: String,
+    /// Its seed.
+    pub seed: u64,
+    /// A digest of the load that was drawn: the same for the same seed.
+    pub load: String,
+    /// The figures.
+    pub summary: Summary,
+    /// The auditor's verdict.
+    pub report: Report,
+    /// What was expected, each with the figure that was found and whether it holds.
+    pub expects: Vec<Expected>,
+    /// Whether the rules and all expectations hold.
+    pub holds: bool,
+}
+
+/// An expectation and what was found.
+#[derive(Debug, Clone, Serialize)]
+pub struct Expected {
+    /// Its line.
+    pub line: String,
+    /// The figure that was found; `None` where there was nothing to measure.
+    pub found: Option<f64>,
+    /// Whether it holds.
+    pub holds: bool,
+}
+
+/// Why a run has no outcome.
+#[derive(Debug)]
+pub enum RunError {
+    /// A process, a port or a file can't be had.
+    Io(io::Error),
+    /// The history can't be read.
+    History(HistoryError),
+    /// It was interrupted.
+    Interrupted,
+}
+
+impl fmt::Display for RunError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            RunError::Io(e) => write!(f, "{e}"),
+            RunError::History(e) => write!(f, "the history {e}"),
+            RunError::Interrupted => write!(f, "interrupted"),
+        }
+    }
+}
+
+impl std::error::Error for RunError {}
+
+impl From<io::Error> for RunError {
+    fn from(e: io::Error) -> Self {
+        RunError::Io(e)
+    }
+}
+
+/// The first line of a history.
+pub fn begin(rules: Rules) -> Line {
+    let (t, who, event) = (Mono::at(), "lab".into(), Event::Begin);
+    Line { t, who, event, rules: Some(Box::new(rules)), ..Line::default() }
+}
+
+/// Runs a scenario once.
+///
+/// # Errors
+/// [`RunError`] where it can't be run to its end.
+pub fn run(scenario: &Scenario, options: &Options) -> Result<Outcome, RunError> {
+    let mut scenario = scenario.clone();
+    if let Some(nodes) = options.nodes {
+        scenario.nodes = nodes;
+    }
+    let seed = options.seed.unwrap_or(scenario.seed);
+    let kept = options.history.clone();
+    let path = kept.clone().unwrap_or_else(|| {
+        let name = crate::lab_ip().to_string().replace('.', "-");
+        std::env::temp_dir().join(format!("stonevane-history-{}-{name}.jsonl", std::process::id()))
+    });
+    let out = File::create(&path)?;
+    let (recorder, writer) = Recorder::to(out);
+    recorder.line(begin(rules(&scenario)));
+    let planned = plan(&scenario.load, scenario.nodes, seed);
+    let load = digest(&format!("{planned:?}"));
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    let played = runtime.block_on(async {
+        tokio::select! {
+            played = play(&scenario, options, seed, planned, &recorder) => played,
+            () = interrupted() => Err(RunError::Interrupted),
+        }
+    });
+    // All processes are ended and all sockets closed before anything is read.
+    runtime.shutdown_timeout(Duration::from_secs(2));
+    drop(recorder);
+    let written = writer.finish();
+    let read = || -> Result<(Report, Summary), RunError> {
+        let open = || File::open(&path).map(|file| BufReader::with_capacity(1 << 20, file));
+        let report = audit(open()?).map_err(RunError::History)?;
+        Ok((report, summarise(open()?).map_err(RunError::History)?))
+    };
+    let done = played.and_then(|()| written.map_err(RunError::Io)).and_then(|_| read());
+    if kept.is_none() {
+        let _ = std::fs::remove_file(&path);
+    }
+    let (report, summary) = done?;
+    let expects: Vec<_> = scenario.expects.iter().map(|expect| expected(expect, &summary, &report)).collect();
+    let holds = report.holds() && expects.iter().all(|expect| expect.holds);
+    Ok(Outcome { scenario: scenario.name, seed, load, summary, report, expects, holds })
+}
+
+fn expected(expect: &Expect, summary: &Summary, report: &Report) -> Expected {
+    let found = summary.figure(&expect.figure, report);
+    Expected { line: expect.to_string(), found, holds: found.is_some_and(|found| expect.holds(found)) }
+}
+
+/// FNV-1a, 64 bits: enough to tell two loads apart.
+fn digest(text: &str) -> String {
+    let hash = text
+        .bytes()
+        .fold(0xcbf2_9ce4_8422_2325u64, |hash, byte| (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3));
+    format!("{hash:016x}")
+}
+
+async fn interrupted() {
+    use tokio::signal::unix::{SignalKind, signal};
+    let (Ok(mut int), Ok(mut term)) = (signal(SignalKind::interrupt()), signal(SignalKind::terminate()))
+    else {
+        return std::future::pending().await;
+    };
+    tokio::select! { _ = int.recv() => {}, _ = term.recv() => {} }
+}
+
+async fn play(
+    scenario: &Scenario,
+    options: &Options,
+    seed: u64,
+    planned: Vec<stonevane_standin::client::Planned>,
+    recorder: &Recorder,
+) -> Result<(), RunError> {
+    let mono = Mono::default();
+    let beat = tokio::spawn(mono.clone().beat());
+    let fleet = Arc::new(Fleet::start(scenario, &options.kind, seed, &mono, recorder).await?);
+    let clients = Clients::new(&fleet.targets, scenario.load.clone(), seed, &mono, recorder.clone());
+    let start = Mono::now() + 20_000;
+    fleet.note("load");
+    let mut steps = tokio::task::JoinSet::new();
+    for step in scenario.steps.clone() {
+        let (fleet, clients) = (fleet.clone(), clients.clone());
+        steps.spawn(async move {
+            let at = start + step.at.as_micros() as u64;
+            tokio::time::sleep(Duration::from_micros(at.saturating_sub(Mono::now()))).await;
+            fleet.step(&step, &clients).await;
+        });
+    }
+    let (watched, asked, progress) = (fleet.clone(), clients.clone(), options.progress);
+    let whole = scenario.load.for_ms;
+    let watch = tokio::spawn(async move {
+        for turn in 1.. {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+            watched.look();
+            if progress && turn % 50 == 0 {
+                let now = Mono::now().saturating_sub(start) / 1_000;
+                let _ = writeln!(
+                    io::stderr(),
+                    "  {:.0} of {:.0} s, {} asked",
+                    now as f64 / 1e3,
+                    whole as f64 / 1e3,
+                    asked.asked()
+                );
+            }
+        }
+    });
+    clients.play(planned, start).await;
+    fleet.note("load ended");
+    // Steps that go on to the end go on no longer.
+    let endless = scenario.steps.iter().any(|step| step.lasts.is_zero());
+    if !endless {
+        while steps.join_next().await.is_some() {}
+    }
+    steps.shutdown().await;
+    watch.abort();
+    let t = Mono::at();
+    recorder.line(Line { t, who: "lab".into(), event: Event::End, ..Line::default() });
+    fleet.end().await;
+    beat.abort();
+    Ok(())
+}
--- /dev/null
+++ b/crates/stonevane-lab/src/scenario.rs
@@ -0,0 +1,492 @@
+//! A scenario: a fleet, a load, faults on a timeline, and what is expected of it.
+
+use std::time::Duration;
+
+use stonevane_config::{Document, Fault as Wrong, Table, suggest};
+use stonevane_standin::Fault;
+use stonevane_standin::cache::CacheSpec;
+use stonevane_standin::client::{Load, LoadClass};
+use stonevane_standin::discovery::Trouble;
+use stonevane_standin::origin::OriginSpec;
+
+/// A scenario.
+#[derive(Debug, Clone)]
+pub struct Scenario {
+    /// Its name, and what it shows.
+    pub name: String,
+    /// What it shows.
+    pub about: String,
+    /// Its seed, where none is given.
+    pub seed: u64,
+    /// How many nodes and cache servers there are.
+    pub nodes: usize,
+    /// How many cache servers there are.
+    pub caches: usize,
+    /// Figures of each cache server and of the origin; names are set for each.
+    pub cache: CacheSpec,
+    /// The origin's figures.
+    pub origin: OriginSpec,
+    /// Part of the keys, the most popular first, that the caches hold at the start.
+    pub warm_keys: f64,
+    /// How late discovery learns of a change, and how long one call takes.
+    pub late: Duration,
+    /// How long one call to discovery takes.
+    pub call: Duration,
+    /// Whether lists are pushed.
+    pub pushed: bool,
+    /// Limits of each node.
+    pub sockets: u64,
+    /// Memory of each node, in megabytes.
+    pub memory_mb: u64,
+    /// The load.
+    pub load: Load,
+    /// Faults, in the order of their times.
+    pub steps: Vec<Step>,
+    /// What must hold besides the rules.
+    pub expects: Vec<Expect>,
+}
+
+/// Something that is done at a time.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Step {
+    /// When, from the start of the load.
+    pub at: Duration,
+    /// For how long; zero: to the end.
+    pub lasts: Duration,
+    /// What.
+    pub what: Act,
+    /// The words of the scenario, for the history and the chart.
+    pub words: String,
+}
+
+/// What a step does.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Act {
+    /// Something is wrong with a server (by its name), for one node or all.
+    Server {
+        /// Its name.
+        server: String,
+        /// What is wrong.
+        fault: Fault,
+        /// Where it shows; `None` for all nodes.
+        node: Option<String>,
+    },
+    /// A cache server drains, and is gone at the step's end.
+    Drain(String),
+    /// The origin does nothing.
+    OriginStop,
+    /// A node is killed, and comes back with the list of its start.
+    NodeKill(usize),
+    /// A node gets SIGTERM, and comes back once it has ended.
+    NodeTerm(usize),
+    /// Discovery is in trouble.
+    Discovery(Trouble),
+    /// Discovery learns of changes this late.
+    Late(Duration),
+    /// The clock of discovery's reports steps.
+    Clock(i64),
+    /// Datagrams between nodes are lost, doubled and late, by these parts and delays.
+    Peers {
+        /// Part that is lost.
+        loss: f64,
+        /// Part that is doubled.
+        duplicate: f64,
+        /// The shortest and the longest delay.
+        delay_ms: (u64, u64),
+    },
+    /// Nodes and servers of different groups can't reach each other.
+    Partition(Vec<Vec<String>>),
+    /// So many connections that say nothing are opened to a node.
+    Flood {
+        /// The node.
+        node: usize,
+        /// How many.
+        count: usize,
+    },
+}
+
+/// A line of what is expected: a figure, a comparison and a bound.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Expect {
+    /// The figure.
+    pub figure: String,
+    /// How it is compared.
+    pub compare: Compare,
+    /// Its bound.
+    pub bound: f64,
+}
+
+/// How a figure is compared with its bound.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Compare {
+    /// It is this or more.
+    AtLeast,
+    /// It is this or less.
+    AtMost,
+    /// It is this.
+    Equal,
+}
+
+impl std::fmt::Display for Expect {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        let sign = match self.compare {
+            Compare::AtLeast => ">=",
+            Compare::AtMost => "<=",
+            Compare::Equal => "=",
+        };
+        write!(f, "{} {sign} {}", self.figure, self.bound)
+    }
+}
+
+impl Expect {
+    /// Whether a figure is as expected.
+    pub fn holds(&self, figure: f64) -> bool {
+        match self.compare {
+            Compare::AtLeast => figure >= self.bound,
+            Compare::AtMost => figure <= self.bound,
+            Compare::Equal => figure == self.bound,
+        }
+    }
+
+    fn parse(text: &str) -> Result<Expect, String> {
+        let signs = [(">=", Compare::AtLeast), ("<=", Compare::AtMost), ("=", Compare::Equal)];
+        let found = signs.into_iter().find_map(|(sign, compare)| Some((text.split_once(sign)?, compare)));
+        let Some(((figure, bound), compare)) = found else {
+            return Err(format!("`{text}` is not like `served >= 0.9`"));
+        };
+        let (figure, bound) = (figure.trim(), bound.trim());
+        let number: Option<f64> = bound.parse().ok().filter(|bound: &f64| bound.is_finite());
+        let Some(bound) = number else { return Err(format!("`{bound}` is no number")) };
+        if !FIGURES.contains(&figure) {
+            return Err(format!("there is no figure `{figure}`{}", suggest(figure, &FIGURES)));
+        }
+        Ok(Expect { figure: figure.into(), compare, bound })
+    }
+}
+
+/// The figures that can be expected.
+pub const FIGURES: [&str; 19] = [
+    "asked",
+    "served",
+    "refused",
+    "failed",
+    "unanswered",
+    "excused",
+    "served_reads",
+    "served_edits",
+    "p50_ms",
+    "p99_ms",
+    "attempts",
+    "attempts_per_request",
+    "origin_fetches",
+    "origin_peak",
+    "origin_falls",
+    "cache_falls",
+    "cold_peak",
+    "edits_run_twice",
+    "recovery_ms",
+];
+
+/// The longest load, and the most of each.
+const MAX_FOR_MS: u64 = 600_000;
+const MAX_NODES: u64 = 64;
+const MAX_CACHES: u64 = 200;
+
+const DOS: [&str; 21] = [
+    "kill",
+    "vanish",
+    "refuse",
+    "reset",
+    "stall",
+    "slow",
+    "truncate",
+    "noise",
+    "tail",
+    "drain",
+    "stop",
+    "node-kill",
+    "node-term",
+    "discovery-down",
+    "discovery-failing",
+    "discovery-silent",
+    "discovery-dropping",
+    "late",
+    "clock",
+    "peers",
+    "partition",
+];
+
+impl Scenario {
+    /// Reads a scenario whole.
+    ///
+    /// # Errors
+    /// All that is wrong with it, in the order of the text.
+    pub fn parse(text: &str) -> Result<Scenario, Vec<Wrong>> {
+        let mut document = Document::parse(text);
+        let root = document.root();
+        let name = root.required("name");
+        let about = root.text("about").unwrap_or_default();
+        let seed = root.integer("seed", 1, 0..=u64::MAX >> 1);
+        let mut scenario = Scenario {
+            name,
+            about,
+            seed,
+            nodes: 2,
+            caches: 4,
+            cache: CacheSpec::default(),
+            origin: OriginSpec::default(),
+            warm_keys: 0.8,
+            late: Duration::from_millis(300),
+            call: Duration::from_millis(2),
+            pushed: false,
+            sockets: 256,
+            memory_mb: 48,
+            load: Load::default(),
+            steps: Vec::new(),
+            expects: Vec::new(),
+        };
+        if let Some(table) = root.table("fleet") {
+            scenario.fleet(&table);
+            table.finish();
+        }
+        let table = root.table("load");
+        scenario.read_load(table.as_ref());
+        if let Some(table) = table {
+            table.finish();
+        }
+        for table in root.tables("fault") {
+            let step = scenario.step(&table);
+            scenario.steps.extend(step);
+            table.finish();
+        }
+        scenario.steps.sort_by_key(|step| step.at);
+        for (line, place) in root.texts("expect") {
+            match Expect::parse(&line) {
+                Ok(expect) => scenario.expects.push(expect),
+                Err(what) => root.fault(place, what),
+            }
+        }
+        root.finish();
+        let faults = document.faults();
+        if faults.is_empty() { Ok(scenario) } else { Err(faults) }
+    }
+
+    fn fleet(&mut self, table: &Table<'_, '_>) {
+        let ms = |table: &Table<'_, '_>, key: &str, default: u64| {
+            1_000 * table.integer(key, default / 1_000, 0..=600_000)
+        };
+        self.nodes = table.integer("nodes", 2, 1..=MAX_NODES) as usize;
+        self.caches = table.integer("caches", 4, 1..=MAX_CACHES) as usize;
+        self.warm_keys = table.number("warm_keys", self.warm_keys, 0.0..=1.0);
+        self.late = Duration::from_millis(table.integer("late_ms", 300, 0..=60_000));
+        self.call = Duration::from_millis(table.integer("call_ms", 2, 0..=5_000));
+        self.pushed = table.flag("pushed", false);
+        self.sockets = table.integer("sockets", self.sockets, 32..=1024);
+        self.memory_mb = table.integer("memory_mb", self.memory_mb, 16..=4096);
+        if let Some(inner) = table.table("cache") {
+            let spec = &mut self.cache;
+            spec.cores = inner.integer("cores", spec.cores as u64, 1..=256) as usize;
+            spec.work_us = ms(&inner, "work_ms", spec.work_us);
+            spec.queue_us = ms(&inner, "queue_ms", spec.queue_us);
+            spec.cold_share = inner.number("cold_share", spec.cold_share, 0.01..=1.0);
+            spec.warm_us = ms(&inner, "warm_ms", spec.warm_us);
+            spec.fall_multiple = inner.number("fall_multiple", spec.fall_multiple, 1.0..=100.0);
+            spec.fall_us = ms(&inner, "fall_ms", spec.fall_us);
+            spec.objects = inner.integer("objects", spec.objects as u64, 1..=1_000_000) as usize;
+            spec.connections = inner.integer("connections", spec.connections as u64, 1..=10_000) as usize;
+            spec.idle_us = ms(&inner, "idle_ms", spec.idle_us);
+            spec.value_len = inner.integer("value_len", spec.value_len as u64, 1..=65_536) as usize;
+            inner.finish();
+        }
+        if let Some(inner) = table.table("origin") {
+            let spec = &mut self.origin;
+            spec.slots = inner.integer("slots", spec.slots as u64, 1..=256) as usize;
+            spec.read_us = ms(&inner, "read_ms", spec.read_us);
+            spec.write_us = ms(&inner, "write_ms", spec.write_us);
+            spec.queue_us = ms(&inner, "queue_ms", spec.queue_us);
+            spec.fall_multiple = inner.number("fall_multiple", spec.fall_multiple, 1.0..=100.0);
+            spec.fall_us = ms(&inner, "fall_ms", spec.fall_us);
+            spec.stop_us = ms(&inner, "stop_ms", spec.stop_us);
+            inner.finish();
+        }
+    }
+
+    fn read_load(&mut self, table: Option<&Table<'_, '_>>) {
+        let base = Load::default();
+        let integer = |key, default, bounds| table.map_or(default, |t| t.integer(key, default, bounds));
+        let number = |key, default, bounds| table.map_or(default, |t| t.number(key, default, bounds));
+        let edits = number("edits", 0.05, 0.0..=1.0);
+        let moves = number("moves", 0.0, 0.0..=1.0);
+        let class = |name: &str, share, deadline_ms, write, keyed| LoadClass {
+            name: name.into(),
+            share,
+            deadline_ms,
+            write,
+            keyed,
+            repeats: !write || keyed,
+            value_len: 24,
+        };
+        let read = class(
+            "zone-lookup",
+            (1.0 - edits - moves).max(0.0),
+            integer("deadline_ms", 1_500, 50..=60_000),
+            false,
+            false,
+        );
+        let edit = class("zone-edit", edits, integer("edit_deadline_ms", 300, 50..=60_000), true, true);
+        // A class whose effect happens again: no part of the platform's, and all the harder for it.
+        let unsafe_ = class("zone-move", moves, integer("edit_deadline_ms", 300, 50..=60_000), true, false);
+        let tenant = |name: &str, share| (name.to_owned(), share);
+        self.load = Load {
+            per_s: number("per_s", base.per_s, 0.0..=50_000.0),
+            for_ms: integer("for_ms", base.for_ms, 100..=MAX_FOR_MS),
+            keys: integer("keys", base.keys as u64, 1..=1_000_000) as usize,
+            zipf: number("zipf", base.zipf, 0.0..=3.0),
+            offset: number("offset", base.offset, 0.0..=1_000.0),
+            classes: vec![read, edit, unsafe_],
+            tenants: vec![tenant("coastline", 0.43), tenant("dishdash", 0.30), tenant("reef-eats", 0.27)],
+            retries: integer("retries", 1, 0..=10) as u32,
+            honour: number("honour", base.honour, 0.0..=1.0),
+            backoff_ms: integer("backoff_ms", base.backoff_ms, 1..=10_000),
+            impatient: number("impatient", base.impatient, 0.0..=1.0),
+        };
+    }
+
+    fn step(&self, table: &Table<'_, '_>) -> Option<Step> {
+        let at = Duration::from_millis(table.integer("at_ms", 0, 0..=MAX_FOR_MS));
+        let lasts = Duration::from_millis(table.integer("for_ms", 0, 0..=MAX_FOR_MS));
+        let what = table.required("do");
+        let to = table.text("to");
+        let node = table.text("node");
+        let caches: Vec<String> = (0..self.caches).map(cache_name).collect();
+        let nodes: Vec<String> = (0..self.nodes).map(node_name).collect();
+        let mut servers = caches.clone();
+        servers.push(self.origin.name.clone());
+        let known = |names: &[String], key: &str| {
+            let name = table.text(key)?;
+            let names: Vec<&str> = names.iter().map(String::as_str).collect();
+            let found = names.iter().position(|known| *known == name);
+            if found.is_none() {
+                table.fault(table.place_of(key), format!("there is no `{name}`{}", suggest(&name, &names)));
+            }
+            found
+        };
+        let need = |names: &[String], key: &str| {
+            if !table.has(key) {
+                table.fault(table.place(), format!("`{key}` is missing in [{}]", table.name()));
+            }
+            known(names, key)
+        };
+        if node.is_some() {
+            known(&nodes, "node")?;
+        }
+        let act = match what.as_str() {
+            "drain" => Act::Drain(caches[need(&caches, "to")?].clone()),
+            "stop" => Act::OriginStop,
+            "node-kill" => Act::NodeKill(need(&nodes, "to")?),
+            "node-term" => Act::NodeTerm(need(&nodes, "to")?),
+            "discovery-down" => Act::Discovery(Trouble::Down),
+            "discovery-failing" => Act::Discovery(Trouble::Failing),
+            "discovery-silent" => Act::Discovery(Trouble::Silent),
+            "discovery-dropping" => Act::Discovery(Trouble::Dropping),
+            "late" => Act::Late(Duration::from_millis(table.integer("by_ms", 1_000, 0..=60_000))),
+            "clock" => {
+                let back = table.flag("back", false);
+                let by = table.integer("by_ms", 1_000, 0..=86_400_000) as i64;
+                Act::Clock(if back { -by } else { by })
+            }
+            "peers" => Act::Peers {
+                loss: table.number("loss", 0.0, 0.0..=1.0),
+                duplicate: table.number("duplicate", 0.0, 0.0..=1.0),
+                delay_ms: (table.integer("least_ms", 1, 0..=10_000), table.integer("most_ms", 1, 0..=10_000)),
+            },
+            "partition" => {
+                let mut groups: Vec<Vec<String>> = vec![Vec::new(), Vec::new()];
+                let all: Vec<String> = nodes.iter().chain(&servers).cloned().collect();
+                let names: Vec<&str> = all.iter().map(String::as_str).collect();
+                for (key, group) in ["one", "other"].into_iter().zip(&mut groups) {
+                    for (name, place) in table.texts(key) {
+                        if !all.contains(&name) {
+                            table.fault(place, format!("there is no `{name}`{}", suggest(&name, &names)));
+                        }
+                        group.push(name);
+                    }
+                }
+                Act::Partition(groups)
+            }
+            "flood" => Act::Flood {
+                node: need(&nodes, "to")?,
+                count: table.integer("count", 300, 1..=2_000) as usize,
+            },
+            other => match Fault::NAMES.iter().find(|(name, _)| *name == other) {
+                Some((_, fault)) => Act::Server {
+                    server: servers[need(&servers, "to")?].clone(),
+                    fault: *fault,
+                    node: node.clone(),
+                },
+                None => {
+                    let mut known = DOS.to_vec();
+                    known.push("flood");
+                    table.fault(
+                        table.place_of("do"),
+                        format!("`do` has no `{other}`{}", suggest(other, &known)),
+                    );
+                    return None;
+                }
+            },
+        };
+        let words = [Some(what), to, node].into_iter().flatten().collect::<Vec<_>>().join(" ");
+        Some(Step { at, lasts, what: act, words })
+    }
+}
+
+/// The name of a node.
+pub fn node_name(number: usize) -> String {
+    format!("n{number}")
+}
+
+/// The name of a cache server.
+pub fn cache_name(number: usize) -> String {
+    format!("cache-{number}")
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn every_scenario_that_comes_along_can_be_read_and_bears_its_name() {
+        for (name, text) in crate::SCENARIOS {
+            let scenario = Scenario::parse(text).unwrap_or_else(|e| panic!("{name}: {e:?}"));
+            assert_eq!(scenario.name, name);
+            assert!(!scenario.about.is_empty() && !scenario.expects.is_empty(), "{name}");
+        }
+        assert_eq!(crate::SCENARIOS[0].0, "calm");
+    }
+
+    #[test]
+    fn every_fault_of_a_bad_scenario_is_told_with_its_place() {
+        let text = "nme = 'x'\nexpect = ['served > 0', 'srved >= 1', 'served >= many']\n[fleet]\nnodes = 0\n\
+                    [[fault]]\ndo = 'vanich'\nto = 'cache-1'\n[[fault]]\ndo = 'kill'\nto = 'cache-9'\n[[fault]]\n\
+                    do = 'node-kill'\n";
+        let faults: Vec<_> = Scenario::parse(text).unwrap_err().iter().map(ToString::to_string).collect();
+        let has = |part: &str| assert!(faults.iter().any(|f| f.contains(part)), "{part}: {faults:#?}");
+        has("line 1, column 1: unknown key `nme` in the file; did you mean `name`?");
+        has("line 2, column 11: `served > 0` is not like");
+        has("line 2, column 25: there is no figure `srved`; did you mean `served`?");
+        has("`many` is no number");
+        has("line 4, column 9: `nodes` is to be from 1 to 64");
+        has("line 6, column 6: `do` has no `vanich`; did you mean `vanish`?");
+        has("line 10, column 6: there is no `cache-9`; did you mean `cache-0`?");
+        has("`to` is missing in [fault]");
+        has("`name` is missing in the file");
+    }
+
+    #[test]
+    fn expectations_compare_as_they_read() {
+        let expect = |text| Expect::parse(text).unwrap();
+        assert!(expect("served >= 0.9").holds(0.9) && !expect("served >= 0.9").holds(0.89));
+        assert!(expect("p99_ms <= 5").holds(5.0) && !expect("p99_ms <= 5").holds(5.1));
+        assert!(expect("cache_falls = 0").holds(0.0) && !expect("cache_falls = 0").holds(1.0));
+    }
+}
--- /dev/null
+++ b/crates/stonevane-lab/src/summary.rs
@@ -0,0 +1,288 @@
+//! Figures of a run, from its history.
+
+use std::collections::{BTreeMap, HashMap};
+use std::io::BufRead;
+
+use serde::Serialize;
+use stonevane_audit::history;
+use stonevane_audit::{Effect, Event, HistoryError, Line, Outcome, Report, Rules};
+use stonevane_standin::work::{Window, able};
+
+/// The width of a step of the chart, microseconds.
+pub const STEP_US: u64 = 250_000;
+/// Service has recovered when this part of what is asked is served again.
+const RECOVERED: f64 = 0.95;
+
+/// What became of one class's requests; times in milliseconds.
+#[derive(Debug, Clone, Default, Serialize)]
+pub struct Class {
+    /// Asked.
+    pub asked: u64,
+    /// Answered with a value.
+    pub served: u64,
+    /// Turned away.
+    pub refused: u64,
+    /// Without a promise.
+    pub failed: u64,
+    /// Times of what was served.
+    pub p50_ms: f64,
+    /// The 99th part of a hundred.
+    pub p99_ms: f64,
+    /// The 999th part of a thousand.
+    pub p999_ms: f64,
+    #[serde(skip)]
+    times: Vec<u64>,
+}
+
+/// What a server was sent, against its limit.
+#[derive(Debug, Clone, Default, Serialize)]
+pub struct Server {
+    /// Attempts.
+    pub attempts: u64,
+    /// Turned away.
+    pub busy: u64,
+    /// Misses.
+    pub misses: u64,
+    /// The most work in a second, as a part of what it can do warm.
+    pub peak: f64,
+    /// While it was cold: the most work in a window of the rule, as a part of what the rule allows.
+    pub cold_peak: f64,
+    /// Times that it fell over or stopped.
+    pub falls: u64,
+}
+
+/// One step of the chart.
+#[derive(Debug, Clone, Copy, Default, Serialize)]
+pub struct Step {
+    /// Requests asked in it.
+    pub asked: u64,
+    /// Of these, how many were served.
+    pub served: u64,
+    /// Of these, how many were refused.
+    pub refused: u64,
+    /// Of these, how many failed.
+    pub failed: u64,
+    /// Work sent to the origin, as a part of what it can do.
+    pub origin: f64,
+    /// Work sent to the coldest server, as a part of what the rule allows.
+    pub coldest: f64,
+}
+
+/// All figures of a run.
+#[derive(Debug, Clone, Default, Serialize)]
+pub struct Summary {
+    /// By class.
+    pub classes: BTreeMap<String, Class>,
+    /// By server.
+    pub servers: BTreeMap<String, Server>,
+    /// Steps of a quarter of a second.
+    pub steps: Vec<Step>,
+    /// Faults, in seconds from the start of the load.
+    pub faults: Vec<(f64, String)>,
+    /// From the end of the last fault until service was back, milliseconds; `None` where it never was.
+    pub recovery_ms: Option<f64>,
+    /// Attempts at all servers.
+    pub attempts: u64,
+}
+
+struct Load {
+    /// Start, cold share, time to warm, capacity.
+    started: u64,
+    share: f64,
+    warm: u64,
+    capacity: f64,
+    second: Window,
+    window: Window,
+}
+
+#[derive(Default)]
+struct Reading {
+    summary: Summary,
+    rules: Rules,
+    start: Option<u64>,
+    open: HashMap<String, (String, u64, usize)>,
+    loads: HashMap<String, Load>,
+}
+
+/// Figures of a history.
+///
+/// # Errors
+/// [`HistoryError`] as for [`stonevane_audit::audit`].
+pub fn summarise(text: impl BufRead) -> Result<Summary, HistoryError> {
+    let mut reading = Reading::default();
+    history::read(text, |_, line| reading.line(&line))?;
+    Ok(reading.finish())
+}
+
+impl Reading {
+    fn step(&mut self, at: u64) -> usize {
+        let start = self.start.unwrap_or(at);
+        let step = (at.saturating_sub(start) / STEP_US).min(100_000) as usize;
+        if self.summary.steps.len() <= step {
+            self.summary.steps.resize(step + 1, Step::default());
+        }
+        step
+    }
+
+    fn line(&mut self, line: &Line) {
+        match line.event {
+            Event::Begin => self.rules = line.rules.as_deref().cloned().unwrap_or_default(),
+            Event::Ask if !line.again => {
+                let step = self.step(line.t.ended);
+                self.summary.steps[step].asked += 1;
+                self.summary.classes.entry(line.class.clone()).or_default().asked += 1;
+                self.open.insert(line.request.clone(), (line.class.clone(), line.t.ended, step));
+            }
+            Event::Answer => {
+                let Some((class, asked, step)) = self.open.remove(&line.request) else { return };
+                let class = self.summary.classes.entry(class).or_default();
+                let step = &mut self.summary.steps[step];
+                match line.outcome {
+                    Some(Outcome::Served) => {
+                        class.served += 1;
+                        class.times.push(line.t.ended.saturating_sub(asked));
+                        step.served += 1;
+                    }
+                    Some(Outcome::Refused) => {
+                        class.refused += 1;
+                        step.refused += 1;
+                    }
+                    _ => {
+                        class.failed += 1;
+                        step.failed += 1;
+                    }
+                }
+            }
+            Event::Start => {
+                let load = Load {
+                    started: line.t.begun,
+                    share: line.cold_share,
+                    warm: line.warm_us,
+                    capacity: line.capacity_us_per_s,
+                    second: Window::default(),
+                    window: Window::default(),
+                };
+                self.loads.insert(line.at().into(), load);
+            }
+            Event::Attempt => self.attempt(line),
+            Event::Fault => {
+                if line.state == "load" {
+                    self.start = Some(line.t.ended);
+                }
+                let fell = matches!(line.state.as_str(), "fell over" | "stopped");
+                if fell {
+                    self.summary.servers.entry(line.who.clone()).or_default().falls += 1;
+                }
+                let at = line.t.ended.saturating_sub(self.start.unwrap_or(line.t.ended)) as f64 / 1e6;
+                let words = if fell { format!("{} {}", line.who, line.state) } else { line.state.clone() };
+                if self.summary.faults.len() < 1_000 {
+                    self.summary.faults.push((at, words));
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn attempt(&mut self, line: &Line) {
+        let at = line.t.ended;
+        let step = self.step(at);
+        self.summary.attempts += 1;
+        let server = self.summary.servers.entry(line.at().into()).or_default();
+        server.attempts += 1;
+        server.busy += u64::from(line.effect == Some(Effect::Busy));
+        server.misses += u64::from(line.effect == Some(Effect::Miss));
+        if line.origin {
+            let capacity = self.rules.origin.capacity_us_per_s;
+            let load = self.loads.entry(line.at().into()).or_insert_with(|| Load {
+                started: 0,
+                share: 1.0,
+                warm: 0,
+                capacity,
+                second: Window::default(),
+                window: Window::default(),
+            });
+            let window = self.rules.origin.fall_us;
+            let part = load.window.add(at, line.work_us, window) as f64 / (capacity / 1e6 * window as f64);
+            server.peak = server.peak.max(part);
+            self.summary.steps[step].origin += line.work_us as f64 / (capacity / 1e6 * STEP_US as f64);
+            return;
+        }
+        let Some(load) = self.loads.get_mut(line.at()) else { return };
+        let second = load.second.add(at, line.work_us, 1_000_000) as f64 / load.capacity;
+        server.peak = server.peak.max(second);
+        if load.warm > 0 && at < load.started + load.warm {
+            let window = self.rules.fall_us;
+            let sum = load.window.add(at, line.work_us, window) as f64;
+            let from = at.saturating_sub(window).max(load.started);
+            let most = able(load.capacity, load.share, load.started, load.warm, from, window);
+            let part = sum / (most * self.rules.fall_multiple);
+            server.cold_peak = server.cold_peak.max(part);
+            let step = &mut self.summary.steps[step];
+            step.coldest = step.coldest.max(part);
+        }
+    }
+
+    fn finish(mut self) -> Summary {
+        for class in self.summary.classes.values_mut() {
+            class.times.sort_unstable();
+            let part = |part: f64| {
+                let at = ((class.times.len() as f64 * part).ceil() as usize).saturating_sub(1);
+                class.times.get(at).map_or(0.0, |time| *time as f64 / 1e3)
+            };
+            (class.p50_ms, class.p99_ms, class.p999_ms) = (part(0.5), part(0.99), part(0.999));
+        }
+        let last = self.summary.faults.iter().filter(|(_, words)| !words.starts_with("load"));
+        let last = last.map(|(at, _)| *at).fold(0.0, f64::max);
+        let from = (last * 1e6) as u64 / STEP_US;
+        let steps = self.summary.steps.iter().enumerate().skip(from as usize);
+        let back = steps.clone().find(|(_, s)| s.asked > 0 && s.served as f64 >= RECOVERED * s.asked as f64);
+        self.summary.recovery_ms =
+            back.map(|(step, _)| (step as f64 * STEP_US as f64 / 1e3 - last * 1e3).max(0.0));
+        self.summary
+    }
+}
+
+impl Summary {
+    /// A figure by the name that expectations use; `None` where there was nothing to measure.
+    pub fn figure(&self, name: &str, report: &Report) -> Option<f64> {
+        let sum = |of: &dyn Fn(&Class) -> u64| self.classes.values().map(of).sum::<u64>() as f64;
+        let asked = sum(&|c| c.asked);
+        let part = |count: f64| (asked > 0.0).then_some(count / asked);
+        let served = |name: &str| {
+            let class = self.classes.get(name)?;
+            (class.asked > 0).then_some(class.served as f64 / class.asked as f64)
+        };
+        let worst = |of: &dyn Fn(&Class) -> f64| self.classes.values().map(of).fold(0.0, f64::max);
+        let origin = |s: &&String| s.as_str() == "origin";
+        let servers = |own: bool, of: &dyn Fn(&Server) -> f64| {
+            let all = self.servers.iter().filter(|(name, _)| origin(name) == own);
+            all.map(|(_, server)| of(server)).fold(0.0, f64::max)
+        };
+        let falls = |own: bool| {
+            let all = self.servers.iter().filter(|(name, _)| origin(name) == own);
+            all.map(|(_, server)| server.falls).sum::<u64>() as f64
+        };
+        Some(match name {
+            "asked" => asked,
+            "served" => part(sum(&|c| c.served))?,
+            "refused" => part(sum(&|c| c.refused))?,
+            "failed" => part(sum(&|c| c.failed))?,
+            "unanswered" => part(asked - sum(&|c| c.served + c.refused + c.failed))?,
+            "excused" => report.excused as f64,
+            "served_reads" => served("zone-lookup")?,
+            "served_edits" => served("zone-edit")?,
+            "p50_ms" => worst(&|c| c.p50_ms),
+            "p99_ms" => worst(&|c| c.p99_ms),
+            "attempts" => self.attempts as f64,
+            "attempts_per_request" => part(self.attempts as f64)?,
+            "origin_fetches" => self.servers.get("origin").map_or(0.0, |s| s.attempts as f64),
+            "origin_peak" => servers(true, &|s| s.peak),
+            "origin_falls" => falls(true),
+            "cache_falls" => falls(false),
+            "cold_peak" => servers(false, &|s| s.cold_peak),
+            "edits_run_twice" => report.tokens_run_twice as f64,
+            "recovery_ms" => self.recovery_ms?,
+            _ => return None,
+        })
+    }
+}
--- /dev/null
+++ b/crates/stonevane-lab/tests/crooked.rs
@@ -0,0 +1,98 @@
+//! Little nodes over real sockets: each crooked one is caught at what it does and at nothing else, the honest
+//! one is not accused through the same faults.
+#![allow(missing_docs)]
+
+use stonevane_audit::Rule;
+use stonevane_lab::{Crime, Kind, Options, Outcome, Scenario, run};
+
+const CALM: &str = "name = \"calm\"\n[load]\nper_s = 80\nfor_ms = 1200\nimpatient = 0.05\nmoves = 0.1\nedits = 0.2\n\
+    [fleet]\nwarm_keys = 1\n";
+const DRAIN: &str = "name = \"drain\"\n[load]\nper_s = 80\nfor_ms = 3000\nedits = 0\n[fleet]\nlate_ms = 50\n\
+    [[fault]]\ndo = \"drain\"\nto = \"cache-1\"\nat_ms = 300\nfor_ms = 2600\n";
+const TERM: &str = "name = \"term\"\n[load]\nper_s = 200\nfor_ms = 1500\nedits = 0\n[fleet]\nnodes = 1\n\
+    [fleet.cache]\nwork_ms = 60\ncores = 64\n[[fault]]\ndo = \"node-term\"\nto = \"n0\"\nat_ms = 700\nfor_ms = 100\n";
+/// One cache restarts, cold; it can do about 1.8 s of work in 2 s, so that 5.5 s are too much. A miss, which is
+/// all that it does, is 10 ms of work.
+const COLD: &str = "name = \"cold\"\n[load]\nper_s = 20\nfor_ms = 3600\nedits = 0\nretries = 0\nkeys = 5000\nzipf = 0\n[fleet]\nlate_ms = 20\n\
+    warm_keys = 1\n[fleet.cache]\nwork_ms = 100\ncores = 2\ncold_share = 0.35\nwarm_ms = 7500\n\
+    [fleet.origin]\nslots = 200\n\
+    [[fault]]\ndo = \"kill\"\nto = \"cache-0\"\nat_ms = 200\nfor_ms = 200\n";
+
+fn play(text: &str, crime: Crime, nodes: Option<usize>) -> Outcome {
+    let scenario = Scenario::parse(text).unwrap();
+    let options = Options { seed: None, nodes, kind: Kind::Little(crime), history: None, progress: false };
+    run(&scenario, &options).unwrap()
+}
+
+#[track_caller]
+fn caught(text: &str, crime: Crime, nodes: Option<usize>, rule: Rule, code: &str) {
+    let report = play(text, crime, nodes).report;
+    assert!(!report.findings.is_empty(), "{crime:?} was not caught: {report}");
+    for finding in &report.findings {
+        assert_eq!((finding.rule, finding.code), (rule, code), "{crime:?}: {finding}");
+        assert!(!finding.evidence.is_empty(), "{finding}");
+    }
+}
+
+#[track_caller]
+fn honest(text: &str, crime: Crime, nodes: Option<usize>) {
+    let outcome = play(text, crime, nodes);
+    assert!(outcome.report.holds(), "{}: {}", outcome.scenario, outcome.report);
+    assert!(outcome.report.requests > 20);
+}
+
+#[test]
+fn an_honest_little_node_is_not_accused_through_the_same_faults() {
+    honest(CALM, Crime::Honest, None);
+    honest(DRAIN, Crime::Honest, None);
+    honest(TERM, Crime::Honest, None);
+    honest(COLD, Crime::Honest, None);
+}
+
+#[test]
+fn one_that_answers_twice_is_caught() {
+    caught(CALM, Crime::AnswersTwice, None, Rule::Answered, "twice");
+}
+
+#[test]
+fn one_that_answers_late_is_caught() {
+    let text = CALM.replace("impatient = 0.05", "impatient = 0\ndeadline_ms = 400");
+    caught(&text, Crime::AnswersLate, None, Rule::Answered, "late");
+}
+
+#[test]
+fn one_that_gives_the_value_of_another_request_is_caught() {
+    caught(CALM, Crime::OtherValue, None, Rule::Answered, "value");
+}
+
+#[test]
+fn one_that_keeps_values_and_gives_old_ones_is_caught() {
+    caught(CALM, Crime::StaleValue, None, Rule::Answered, "value");
+}
+
+#[test]
+fn one_that_drops_what_it_holds_at_sigterm_is_caught() {
+    caught(TERM, Crime::LosesAtTerm, None, Rule::Answered, "lost");
+}
+
+#[test]
+fn one_that_sends_an_unsafe_write_again_is_caught() {
+    caught(CALM, Crime::ResendsUnsafe, None, Rule::Once, "unsafe-again");
+}
+
+#[test]
+fn one_that_sends_to_a_server_past_its_drain_is_caught() {
+    caught(DRAIN, Crime::IgnoresDrains, None, Rule::Drained, "drained");
+}
+
+#[test]
+fn one_that_floods_a_cold_cache_alone_is_caught() {
+    caught(COLD, Crime::Floods, Some(1), Rule::Cold, "cold-server");
+}
+
+#[test]
+fn two_that_flood_a_cold_cache_only_together_are_caught_and_one_of_them_is_not() {
+    let half = COLD.replace("per_s = 20", "per_s = 10");
+    honest(&half, Crime::FloodsTogether, Some(1));
+    caught(COLD, Crime::FloodsTogether, Some(2), Rule::Cold, "cold-server");
+}
--- a/crates/stonevane-node/src/config.rs
+++ b/crates/stonevane-node/src/config.rs
@@ -4,6 +4,7 @@
 
 use serde::Deserialize;
 use spardeal::settings::{self, Deployment};
+use stonevane_config::operator::Operator;
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::list::Listing;
@@ -25,6 +26,8 @@
     pub known: Listing,
     /// The settings.
     pub deployment: Deployment,
+    /// What the operator file sets.
+    pub operator: Operator,
 }
 
 /// Why a configuration can't be used.
@@ -133,6 +136,7 @@
             memory_mb: file.limits.memory_mb,
             known: file.known.unwrap_or_default(),
             deployment,
+            operator: Operator::default(),
         })
     }
 }
--- a/crates/stonevane-node/src/fronts/mod.rs
+++ b/crates/stonevane-node/src/fronts/mod.rs
@@ -7,6 +7,7 @@
 
 use bytes::Bytes;
 use spardeal::settings::Deployment;
+use stonevane_config::operator::Clients;
 use tokio::sync::{Notify, Semaphore, mpsc, watch};
 
 use crate::clock::Clock;
@@ -33,6 +34,8 @@
     pub open: Arc<Semaphore>,
     /// What they and all else may hold.
     pub memory: Memory,
+    /// Time limits on connections: points in time, which no dribbled byte moves.
+    pub limits: Clients,
     /// Ids of the requests that are open.
     pub ids: Arc<Mutex<HashSet<Bytes>>>,
 }
--- a/crates/stonevane-node/src/fronts/resp.rs
+++ b/crates/stonevane-node/src/fronts/resp.rs
@@ -21,17 +21,6 @@
 /// Requests of one connection that are answered at the same time; more wait unread. The first figure holds
 /// until it is known how long the answers are: together they may hold the third, as a part of the memory.
 const PIPELINE: (usize, usize, usize) = (16, 64, 16);
-/// A connection that has brought no whole command for so long after it was taken is closed. All three of
-/// these limits are points in time, which no dribbled byte moves.
-const FIRST: Duration = Duration::from_millis(2_200);
-/// A command must be whole so long after its first byte.
-const WHOLE: Duration = Duration::from_secs(2);
-/// An answer must be written so long after its turn has come.
-const WRITTEN: Duration = Duration::from_secs(4);
-/// A connection on which nothing is open may go after this long, where others wait for its place ...
-const SPARE: Duration = Duration::from_secs(2);
-/// ... and goes after this long in any case.
-const IDLE: Duration = Duration::from_secs(15);
 /// After an error that ends a connection, its client's input is read on for so long, and so much of it.
 const LINGER: (Duration, usize) = (Duration::from_millis(200), 256 * 1024);
 /// Input is read in pieces of this size; a command that is longer has to wait for memory.
@@ -127,7 +116,7 @@
         broken: false,
         late,
         longest: 0,
-        whole_by: Some(now + FIRST),
+        whole_by: Some(now + front.limits.first),
         idle_since: now,
         front,
     };
@@ -212,7 +201,7 @@
             {
                 self.slots.pop_front();
                 self.first += 1;
-                self.output = Some(Output { bytes, by: Instant::now() + WRITTEN, _share });
+                self.output = Some(Output { bytes, by: Instant::now() + self.front.limits.written, _share });
             }
             if let Some(output) = &mut self.output {
                 match self.stream.try_write(&output.bytes) {
@@ -237,13 +226,13 @@
             let room = !self.broken && self.slots.len() < self.pipeline() && self.output.is_none();
             if !room && self.whole_by.is_some() {
                 // While nothing is read the rest of a command can't come.
-                self.whole_by = Some(Instant::now() + WHOLE);
+                self.whole_by = Some(Instant::now() + self.front.limits.whole);
             }
             // Against commands that together are longer than the memory: the long ones wait their turn, with
             // the client's own buffers, and those that wait too long are turned away.
             let long = self.input.len() >= PIECE && self.long.is_none();
             let between = !owes && self.input.is_empty();
-            let spare_at = self.idle_since + SPARE;
+            let spare_at = self.idle_since + self.front.limits.spare;
             let spare = between && self.first > 0 && Instant::now() >= spare_at;
             let by = self.output.as_ref().map(|output| output.by);
             let whole_by = self.whole_by.filter(|_| room);
@@ -269,7 +258,7 @@
                     match self.stream.try_read_buf(&mut self.input) {
                         Ok(0) => return Ended::Gone,
                         Ok(_) if empty && self.whole_by.is_none() => {
-                            self.whole_by = Some(Instant::now() + WHOLE);
+                            self.whole_by = Some(Instant::now() + self.front.limits.whole);
                         }
                         Ok(_) => {}
                         Err(e) if e.kind() == std::io::ErrorKind::WouldBlock => {}
@@ -293,7 +282,7 @@
                 }
                 () = until(by), if by.is_some() => return Ended::Gone,
                 () = sleep_until(spare_at), if between && !spare && self.first > 0 => {}
-                () = sleep_until(self.idle_since + IDLE), if spare => return Ended::Closed,
+                () = sleep_until(self.idle_since + self.front.limits.idle), if spare => return Ended::Closed,
             }
         }
     }
@@ -316,7 +305,8 @@
         {
             match resp::take_command(&mut self.input) {
                 Ok(Some(words)) => {
-                    self.whole_by = (!self.input.is_empty()).then(|| Instant::now() + WHOLE);
+                    self.whole_by =
+                        (!self.input.is_empty()).then(|| Instant::now() + self.front.limits.whole);
                     self.command(words).await;
                 }
                 Ok(None) => return,
--- a/crates/stonevane-node/src/lib.rs
+++ b/crates/stonevane-node/src/lib.rs
@@ -14,9 +14,12 @@
 mod request;
 mod upstreams;
 
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::sync::Arc;
 
+use clap::Parser;
+use stonevane_config::operator::Operator;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{Notify, Semaphore, mpsc, watch};
@@ -63,6 +66,7 @@
         pressure: Notify::new(),
         open,
         memory: memory.clone(),
+        limits: config.operator.clients,
         ids: Arc::default(),
     };
     tokio::spawn(fronts::resp::listen(listener, Arc::new(front)));
@@ -87,12 +91,44 @@
     Ok(())
 }
 
+/// One node between clients and zone caches. The platform's configuration is named by ROUTER_CONFIG.
+#[derive(Parser)]
+#[command(
+    name = "spardeal-node",
+    version,
+    after_help = "Examples:
+  ROUTER_CONFIG=config.json spardeal-node
+  ROUTER_CONFIG=config.json spardeal-node --operator deploy/operator.toml
+
+SIGTERM drains and exits 0; SIGHUP reads the configuration again; a bad configuration is exit 2."
+)]
+struct Args {
+    /// What is configured beside the platform's pages; `stonevane config check FILE` checks it without a node.
+    #[arg(long, value_name = "FILE")]
+    operator: Option<PathBuf>,
+}
+
+/// Reads an operator file; or a line for each fault.
+fn read_operator(path: &Path) -> Result<Operator, Vec<String>> {
+    let name = path.display();
+    let text = std::fs::read_to_string(path).map_err(|e| vec![format!("{name}: {e}")])?;
+    Operator::parse(&text).map_err(|faults| faults.iter().map(|fault| format!("{name}: {fault}")).collect())
+}
+
 /// Runs a node to its end: reads the configuration that the environment names, serves, and drains on SIGTERM.
 ///
 /// Exit code 0 after a drain; 2, with one line on standard error, for a configuration that can't be used.
 pub fn main() -> ExitCode {
+    let args = Args::parse();
+    let operator = match args.operator.as_deref().map(read_operator).transpose() {
+        Ok(operator) => operator.unwrap_or_default(),
+        Err(lines) => {
+            lines.iter().for_each(|line| log(line));
+            return ExitCode::from(2);
+        }
+    };
     let config = match Config::from_env() {
-        Ok(config) => config,
+        Ok(config) => Config { operator, ..config },
         Err(e) => {
             log(&e.to_string());
             return ExitCode::from(2);
--- a/crates/stonevane-node/src/node.rs
+++ b/crates/stonevane-node/src/node.rs
@@ -117,7 +117,7 @@
             servers: HashMap::new(),
             cache: Arc::new(Streamed::new(cache::Cache)),
             origin: Arc::new(Streamed::new(origin::Origin)),
-            pool: Pool::new(table, deployment.clone(), memory.clone(), hub.clone()),
+            pool: Pool::new(table, deployment.clone(), &config.operator.servers, memory.clone(), hub.clone()),
             memory,
             discovery: Discovery::new(config.discovery, config.known.index, hub),
             known: Some(config.known),
--- a/crates/stonevane-node/src/upstreams.rs
+++ b/crates/stonevane-node/src/upstreams.rs
@@ -7,6 +7,7 @@
 
 use spardeal::settings::Deployment;
 use spardeal::{Micros, ServerId};
+use stonevane_config::operator::Servers;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore, mpsc};
 use tokio::task::AbortHandle;
 
@@ -15,10 +16,6 @@
 use crate::memory::Memory;
 use crate::reply::{AttemptKey, ConnId};
 
-/// A connection rests for so long after an answer. Against a second copy or noise that comes a moment behind
-/// a good answer: it must be seen before the next request is written, or it would be read as its answer.
-const REST: Micros = 15_000;
-
 struct Conn {
     server: ServerId,
     address: SocketAddr,
@@ -54,6 +51,10 @@
     limit: usize,
     table: Arc<Semaphore>,
     idle_limit: Micros,
+    /// A connection rests for so long after an answer. Against a second copy or noise that comes a moment
+    /// behind a good answer: it must be seen before the next request is written, or it would be read as its
+    /// answer.
+    rest: Micros,
     deployment: Arc<Deployment>,
     memory: Memory,
     hub: mpsc::Sender<Input>,
@@ -64,14 +65,16 @@
     pub fn new(
         (limit, table): (usize, Arc<Semaphore>),
         deployment: Arc<Deployment>,
+        servers: &Servers,
         memory: Memory,
         hub: mpsc::Sender<Input>,
     ) -> Self {
+        let rest = servers.rest.as_micros() as Micros;
         // Well before the server closes it: a request written to a closed connection ends as a reset, which
         // may have run and so may not be sent again.
         let idle_limit = deployment.idle_close / 2;
         let (conns, idle) = (HashMap::new(), HashMap::new());
-        Pool { conns, idle, next: 1, limit, table, idle_limit, deployment, memory, hub }
+        Pool { conns, idle, next: 1, limit, table, idle_limit, rest, deployment, memory, hub }
     }
 
     /// An idle connection to a server for an attempt, if there is one.
@@ -79,9 +82,9 @@
         loop {
             let idle = self.idle.get_mut(&server)?;
             // In the order in which they became idle: the one used last among those that have rested.
-            let conns = &self.conns;
+            let (conns, rest) = (&self.conns, self.rest);
             let rested =
-                |id: &ConnId| conns.get(id).is_none_or(|conn| conn.idle_since + REST <= now || !conn.up());
+                |id: &ConnId| conns.get(id).is_none_or(|conn| conn.idle_since + rest <= now || !conn.up());
             let id = idle.iter().rposition(rested).map(|at| idle.remove(at))?;
             match self.conns.get_mut(&id) {
                 Some(conn) if now < conn.idle_since + self.idle_limit && conn.up() => {
--- a/crates/stonevane-node/tests/node/main.rs
+++ b/crates/stonevane-node/tests/node/main.rs
@@ -685,3 +685,33 @@
     asks.join().unwrap().unwrap();
     let _ = node.log.recv_timeout(Duration::ZERO);
 }
+
+#[test]
+fn a_bad_operator_file_is_a_line_for_each_fault_and_exit_code_2() {
+    let path = config_file("[clients]\nidel_ms = 5\nfirst_ms = 0\n");
+    let mut run = Command::new(env!("CARGO_BIN_EXE_spardeal-node"));
+    let run = run.arg("--operator").arg(&path).env_remove("ROUTER_CONFIG").output().unwrap();
+    let _ = std::fs::remove_file(&path);
+    let said = String::from_utf8_lossy(&run.stderr).into_owned();
+    assert_eq!((run.status.code(), said.lines().count()), (Some(2), 2), "{said}");
+    assert!(said.contains("line 2, column 1: unknown key `idel_ms`"), "{said}");
+    let mut run = Command::new(env!("CARGO_BIN_EXE_spardeal-node"));
+    let run = run.args(["--operator", "/no/such/file"]).output().unwrap();
+    assert_eq!((run.status.code(), run.stderr.iter().filter(|b| **b == b'\n').count()), (Some(2), 1));
+}
+
+#[test]
+fn what_an_operator_file_sets_is_in_force() {
+    let cache = cache(|words| Act::Say(hit(&words[1])));
+    let origin = no_origin();
+    let (discovery, _say, _calls) = quiet();
+    let path = config_file("[clients]\nspare_ms = 50\nidle_ms = 100\n");
+    let before = format!("set -- --operator {};", path.display());
+    let node = Node::start_with(discovery, &pair(cache.address, origin.address), 256, &before);
+    let mut client = node.client();
+    assert_eq!(client.ask(&get("aa", "1")).unwrap(), "aa");
+    let begun = std::time::Instant::now();
+    assert_eq!(client.answer(), None, "closed when idle");
+    assert!(begun.elapsed() < Duration::from_secs(10), "long before the default of 15 s");
+    let _ = std::fs::remove_file(&path);
+}
--- a/crates/stonevane-node/tests/node/stand_in.rs
+++ b/crates/stonevane-node/tests/node/stand_in.rs
@@ -283,7 +283,7 @@
         let path = config_file(&text);
         let mut child = Command::new("/bin/sh")
             .arg("-c")
-            .arg(format!("{before} exec \"{}\"", env!("CARGO_BIN_EXE_spardeal-node")))
+            .arg(format!("{before} exec \"{}\" \"$@\"", env!("CARGO_BIN_EXE_spardeal-node")))
             .env("ROUTER_CONFIG", &path)
             .env_remove("ROUTER_LISTEN")
             .env("ROUTER_DISCOVERY", discovery.to_string())
--- /dev/null
+++ b/crates/stonevane-standin/src/lib.rs
@@ -0,0 +1,18 @@
+//! Stand-ins for all that surrounds a node, on loopback sockets: each follows the platform's protocol, can be
+//! made to fail in the ways that real ones do, and writes down what it sees as a history.
+//!
+//! They are one process's tasks on one thread, or processes of their own. Nothing here is linked into the
+//! daemon. Randomness comes from seeds only.
+
+pub mod cache;
+pub mod client;
+pub mod discovery;
+pub mod origin;
+pub mod peers;
+pub mod record;
+pub mod relay;
+mod server;
+pub mod work;
+
+pub use record::{Mono, Recorder};
+pub use server::{Fault, Ports};
--- /dev/null
+++ b/crates/stonevane-standin/src/work.rs
@@ -0,0 +1,109 @@
+//! The work of a server: cores that are busy until a moment, a queue, and the window in which it is pushed
+//! over.
+
+use std::collections::VecDeque;
+
+/// Cores, and until when each is busy.
+pub struct Cores {
+    free_at: Vec<u64>,
+}
+
+impl Cores {
+    /// So many idle cores.
+    pub fn new(count: usize) -> Self {
+        Cores { free_at: vec![0; count.max(1)] }
+    }
+
+    /// When work that comes now would be done, on the core that is free first; `None` where it would wait for
+    /// longer than a limit. Cancelled work goes on.
+    pub fn take(&mut self, now: u64, work_us: u64, longest_wait_us: u64) -> Option<u64> {
+        let core = self.free_at.iter_mut().min()?;
+        let begin = (*core).max(now);
+        if begin - now > longest_wait_us {
+            return None;
+        }
+        *core = begin + work_us;
+        Some(*core)
+    }
+
+    /// Nothing is done before this moment.
+    pub fn stop_until(&mut self, until: u64) {
+        self.free_at.iter_mut().for_each(|core| *core = (*core).max(until));
+    }
+}
+
+/// What came within a window that slides.
+#[derive(Default)]
+pub struct Window {
+    came: VecDeque<(u64, u64)>,
+    sum: u64,
+    /// The most that a window has held.
+    pub peak: u64,
+}
+
+impl Window {
+    /// Adds work, and returns all of the window that ends now.
+    pub fn add(&mut self, now: u64, work_us: u64, window_us: u64) -> u64 {
+        self.came.push_back((now, work_us));
+        self.sum += work_us;
+        while let Some((at, work)) = self.came.front().copied().filter(|(at, _)| at + window_us < now) {
+            let _ = at;
+            self.sum -= work;
+            self.came.pop_front();
+        }
+        self.peak = self.peak.max(self.sum);
+        self.sum
+    }
+
+    /// Forgets all but the peak.
+    pub fn clear(&mut self) {
+        self.came.clear();
+        self.sum = 0;
+    }
+}
+
+/// Work that a server can do from a moment on for a time, while it warms evenly, of a capacity in
+/// microseconds of work a second.
+pub fn able(capacity: f64, cold_share: f64, started: u64, warm_us: u64, from: u64, time: u64) -> f64 {
+    if warm_us == 0 {
+        return capacity / 1e6 * time as f64;
+    }
+    let done = |at: u64| {
+        let (at, warm) = (at.saturating_sub(started) as f64, warm_us as f64);
+        let rising = at.min(warm);
+        cold_share * at + (1.0 - cold_share) * (rising * rising / (2.0 * warm) + at - rising)
+    };
+    capacity / 1e6 * (done(from + time) - done(from))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn work_queues_on_the_core_that_is_free_first_and_is_turned_away_past_the_limit() {
+        let mut cores = Cores::new(2);
+        assert_eq!(cores.take(0, 10, 5), Some(10));
+        assert_eq!(cores.take(0, 4, 5), Some(4));
+        assert_eq!(cores.take(0, 10, 5), Some(14), "waits 4");
+        assert_eq!(cores.take(0, 1, 5), None, "would wait 10");
+        cores.stop_until(100);
+        assert_eq!(cores.take(50, 1, 60), Some(101));
+    }
+
+    #[test]
+    fn a_window_holds_what_came_within_it_and_remembers_its_peak() {
+        let mut window = Window::default();
+        assert_eq!([window.add(0, 3, 10), window.add(10, 4, 10), window.add(11, 5, 10)], [3, 7, 9]);
+        window.clear();
+        assert_eq!((window.add(12, 1, 10), window.peak), (1, 9));
+    }
+
+    #[test]
+    fn a_cold_server_is_able_to_do_its_share_at_first_and_all_when_warm() {
+        let at = |from| able(1e6, 0.5, 0, 1_000, from, 1);
+        assert!(
+            (at(0) - 0.5).abs() < 0.01 && (at(500) - 0.75).abs() < 0.01 && (at(2_000) - 1.0).abs() < 1e-9
+        );
+    }
+}
--- /dev/null
+++ b/crates/stonevane-standin/tests/sockets.rs
@@ -0,0 +1,440 @@
+//! Stand-ins over real sockets: each does what the protocol says, and each way of failing.
+#![allow(missing_docs)]
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use stonevane_codec::resp::{self, Value};
+use stonevane_standin::cache::{Cache, CacheSpec};
+use stonevane_standin::discovery::{Discovery, Entry, Trouble};
+use stonevane_standin::origin::{Origin, OriginSpec};
+use stonevane_standin::peers::{PeerNet, Weather};
+use stonevane_standin::{Fault, Mono, Recorder};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpStream, UdpSocket};
+
+const LONG: Duration = Duration::from_secs(10);
+
+fn doors() -> Vec<(String, SocketAddr)> {
+    ["n0", "n1"].map(|node| (node.to_owned(), "127.0.0.1:0".parse().unwrap())).to_vec()
+}
+
+async fn cache(spec: CacheSpec) -> Arc<Cache> {
+    Cache::start(spec, &doors(), &Mono::default(), Recorder::none()).await.unwrap()
+}
+
+async fn origin(spec: OriginSpec) -> Arc<Origin> {
+    Origin::start(spec, &doors(), &Mono::default(), Recorder::none()).await.unwrap()
+}
+
+struct Client {
+    stream: TcpStream,
+    input: BytesMut,
+}
+
+impl Client {
+    async fn to(address: Option<SocketAddr>) -> Client {
+        // A listener that is being opened again refuses for a moment.
+        let connected = async {
+            loop {
+                if let Ok(stream) = TcpStream::connect(address.unwrap()).await {
+                    return stream;
+                }
+                tokio::time::sleep(Duration::from_millis(2)).await;
+            }
+        };
+        let stream = tokio::time::timeout(LONG, connected).await.unwrap();
+        Client { stream, input: BytesMut::new() }
+    }
+
+    async fn send(&mut self, words: &[&str]) {
+        let words: Vec<&[u8]> = words.iter().map(|w| w.as_bytes()).collect();
+        self.stream.write_all(&resp::command(&words)).await.unwrap();
+    }
+
+    /// The next answer; `None` at the connection's end.
+    async fn answer(&mut self) -> Option<Value> {
+        loop {
+            match resp::take_value(&mut self.input, resp::MAX_VALUE) {
+                Ok(Some(value)) => return Some(value),
+                Ok(None) => {}
+                Err(_) => return Some(Value::Error("malformed".into())),
+            }
+            let read =
+                tokio::time::timeout(LONG, self.stream.read_buf(&mut self.input)).await.expect("in time");
+            if !matches!(read, Ok(count) if count > 0) {
+                return None;
+            }
+        }
+    }
+
+    async fn get(&mut self, key: &str, id: &str) -> Option<Value> {
+        self.send(&["OBJ.GET", key, id, "c=read,d=1000"]).await;
+        self.answer().await
+    }
+}
+
+fn value(answer: Option<Value>) -> Option<String> {
+    match answer? {
+        Value::Array(items) => match &items[0] {
+            Value::Bulk(Some(value)) => Some(String::from_utf8_lossy(value).split(' ').next()?.to_owned()),
+            _ => None,
+        },
+        other => Some(format!("{other:?}")),
+    }
+}
+
+fn busy() -> Option<Value> {
+    Some(Value::Error(Bytes::from_static(b"BUSY")))
+}
+
+/// What an HTTP server says to one request.
+async fn http(address: Option<SocketAddr>, request: &str) -> String {
+    let mut stream = TcpStream::connect(address.unwrap()).await.unwrap();
+    stream.write_all(request.as_bytes()).await.unwrap();
+    let mut text = Vec::new();
+    loop {
+        let whole = stonevane_codec::http::head(&text).ok().flatten();
+        if whole.is_some_and(|head| text.len() >= head.length + head.content_length.unwrap_or(0)) {
+            return String::from_utf8_lossy(&text).into_owned();
+        }
+        let read = tokio::time::timeout(LONG, stream.read_buf(&mut text)).await.expect("in time");
+        if read.unwrap_or(0) == 0 {
+            return String::from_utf8_lossy(&text).into_owned();
+        }
+    }
+}
+
+fn fetch(key: &str, id: &str) -> String {
+    format!("GET /{key} HTTP/1.1\r\nHost: o\r\nX-Correlation-Id: {id}\r\nX-Facts: c=read\r\n\r\n")
+}
+
+fn edit(key: &str, id: &str, token: &str) -> String {
+    format!(
+        "PUT /{key} HTTP/1.1\r\nHost: o\r\nX-Correlation-Id: {id}\r\nX-Facts: c=edit,k={token}\r\nContent-Length: 2\r\n\r\nvv"
+    )
+}
+
+#[tokio::test]
+async fn a_cache_misses_is_filled_by_the_origin_and_voided_by_an_edit() {
+    let (cache, origin) = (cache(CacheSpec::default()).await, origin(OriginSpec::default()).await);
+    origin.attach(std::slice::from_ref(&cache));
+    let mut client = Client::to(cache.address("n0")).await;
+    assert_eq!(value(client.get("k", "r1").await), None, "it lacks the key");
+    assert!(http(origin.address("n0"), &fetch("k", "r1")).await.contains("k.0.r1."));
+    let held = value(client.get("k", "r2").await).unwrap();
+    assert!(held.starts_with("k.0.r2.s-1."), "made for this request: {held}");
+    let receipt = http(origin.address("n1"), &edit("k", "e1", "t")).await;
+    assert!(receipt.contains("k.1.e1."));
+    assert_eq!(value(client.get("k", "r3").await), None, "voided");
+    // A repeat within the window gets the first receipt's version, and nothing happens twice.
+    assert!(http(origin.address("n1"), &edit("k", "e2", "t")).await.contains("k.1.e2."));
+    assert!(http(origin.address("n1"), &edit("k", "e3", "u")).await.contains("k.2.e3."));
+    assert_eq!((cache.counts().hits, cache.counts().misses), (1, 2));
+}
+
+#[tokio::test]
+async fn a_cache_answers_in_order_and_knows_the_other_words_of_the_protocol() {
+    let cache = cache(CacheSpec { work_us: 30_000, ..CacheSpec::default() }).await;
+    cache.hold("a", 0);
+    let mut client = Client::to(cache.address("n0")).await;
+    client.send(&["OBJ.GET", "a", "1", "c=read"]).await;
+    client.send(&["OBJ.GET", "b", "2", "c=read"]).await;
+    for word in ["PING", "CLIENT", "SELECT", "INFO", "HELLO"] {
+        client.send(&[word, "x"]).await;
+    }
+    client.send(&["OBJ.GET", "a"]).await;
+    assert!(value(client.answer().await).unwrap().starts_with("a.0.1."), "the slow hit first");
+    assert_eq!(value(client.answer().await), None, "then the quick miss behind it");
+    for (mark, word) in
+        [('L', "PONG"), ('L', "OK"), ('L', "OK"), ('E', "NOPERM"), ('E', "ERR"), ('E', "SYNTAX")]
+    {
+        let said = format!("{:?}", client.answer().await.unwrap());
+        assert!(said.starts_with(mark) && said.contains(word), "{said}");
+    }
+}
+
+#[tokio::test]
+async fn a_cache_that_restarts_is_cold_and_empty_and_falls_over_when_pushed_and_drains() {
+    let spec = CacheSpec { cores: 1, work_us: 1_000_000, queue_us: u64::MAX / 2, ..CacheSpec::default() };
+    let cache = cache(spec).await;
+    cache.hold("a", 0);
+    cache.restart();
+    let mut client = Client::to(cache.address("n0")).await;
+    // A miss is a tenth of its work: 100 ms each, and it may be sent about 2.6 s in 2 s.
+    for at in 0..40 {
+        client.send(&["OBJ.GET", "a", &at.to_string(), "c=read"]).await;
+    }
+    while cache.counts().attempts < 40 {
+        tokio::time::sleep(Duration::from_millis(2)).await;
+    }
+    let counts = cache.counts();
+    assert_eq!(counts.falls, 1);
+    assert!((20..30).contains(&counts.misses) && counts.busy == 40 - counts.misses, "{counts:?}");
+    cache.restart();
+    cache.drain(true);
+    let mut client = Client::to(cache.address("n0")).await;
+    assert_eq!(client.get("a", "x").await, busy());
+    cache.drain(false);
+    assert_eq!(value(client.get("a", "y").await), None);
+}
+
+#[tokio::test]
+async fn a_full_queue_and_a_full_table_of_connections_turn_away() {
+    let cache =
+        cache(CacheSpec { cores: 1, work_us: 200_000, queue_us: 0, connections: 2, ..CacheSpec::default() })
+            .await;
+    cache.hold("a", 0);
+    let (mut one, mut two) = (Client::to(cache.address("n0")).await, Client::to(cache.address("n1")).await);
+    one.send(&["OBJ.GET", "a", "1", "c=read"]).await;
+    while cache.counts().attempts < 1 {
+        tokio::time::sleep(Duration::from_millis(2)).await;
+    }
+    assert_eq!(two.get("a", "2").await, busy(), "no room in its queue");
+    let mut three = Client::to(cache.address("n0")).await;
+    assert_eq!(three.answer().await, None, "no place for a third connection");
+    assert!(value(one.answer().await).is_some());
+}
+
+#[tokio::test]
+async fn each_fault_shows_as_it_should_and_only_to_the_node_that_is_meant() {
+    let cache = cache(CacheSpec { work_us: 1_000, ..CacheSpec::default() }).await;
+    cache.hold("a", 0);
+    let good = |said: Option<String>| said.is_some_and(|said| said.starts_with("a.0."));
+    for (fault, whole) in
+        [(Fault::Reset, false), (Fault::Truncate, false), (Fault::Noise, false), (Fault::Slow, true)]
+    {
+        cache.fault(Some("n0"), fault);
+        let mut client = Client::to(cache.address("n0")).await;
+        assert_eq!(good(value(client.get("a", "1").await)), whole, "{fault:?}");
+        let mut other = Client::to(cache.address("n1")).await;
+        assert!(good(value(other.get("a", "2").await)), "{fault:?} is n0's alone");
+        cache.fault(None, Fault::None);
+    }
+    cache.fault(Some("n0"), Fault::Tail);
+    let mut client = Client::to(cache.address("n0")).await;
+    assert!(good(value(client.get("a", "1").await)));
+    assert_eq!(client.answer().await, Some(Value::Bulk(Some(Bytes::from_static(b"other")))));
+    cache.fault(Some("n0"), Fault::Stall);
+    client.send(&["OBJ.GET", "a", "3", "c=read"]).await;
+    let stalled = tokio::time::timeout(Duration::from_millis(100), client.answer()).await;
+    assert!(stalled.is_err(), "half an answer and no end");
+    cache.fault(None, Fault::Dead);
+    assert!(TcpStream::connect(cache.address("n0").unwrap()).await.is_err());
+    cache.restart();
+    let mut back = Client::to(cache.address("n0")).await;
+    assert_eq!(value(back.get("a", "4").await), None, "at the same address, and empty");
+}
+
+#[tokio::test]
+async fn a_machine_that_vanished_says_nothing_and_takes_no_connection_until_it_is_back() {
+    let cache = cache(CacheSpec::default()).await;
+    cache.hold("a", 0);
+    let mut before = Client::to(cache.address("n0")).await;
+    assert!(value(before.get("a", "1").await).is_some());
+    cache.fault(Some("n0"), Fault::Silent);
+    before.send(&["OBJ.GET", "a", "2", "c=read"]).await;
+    assert!(tokio::time::timeout(Duration::from_millis(100), before.answer()).await.is_err(), "silent");
+    // Those that fill its queue have come up by now; from here on none does.
+    let address = cache.address("n0").unwrap();
+    let mut refused = 0;
+    for _ in 0..20 {
+        let connect = tokio::time::timeout(Duration::from_millis(60), TcpStream::connect(address)).await;
+        refused += i32::from(connect.is_err());
+        if refused >= 3 {
+            break;
+        }
+    }
+    assert!(refused >= 3, "new connections never come up");
+    cache.fault(Some("n0"), Fault::None);
+    assert_eq!(before.answer().await, None, "reset when it is back");
+    let mut after = Client::to(Some(address)).await;
+    assert!(value(after.get("a", "3").await).is_some());
+}
+
+#[tokio::test]
+async fn an_origin_turns_away_past_its_queue_and_stops_when_overrun() {
+    let spec = OriginSpec {
+        slots: 1,
+        read_us: 100_000,
+        queue_us: 0,
+        fall_us: 1_000_000,
+        stop_us: 400_000,
+        ..OriginSpec::default()
+    };
+    let origin = origin(spec).await;
+    let (address, one) = (origin.address("n0"), fetch("k", "1"));
+    let first = tokio::spawn(async move { http(address, &one).await });
+    while origin.counts().reads < 1 {
+        tokio::time::sleep(Duration::from_millis(2)).await;
+    }
+    let second = http(address, &fetch("k", "2")).await;
+    assert!(second.starts_with("HTTP/1.1 503") && second.contains("X-Unprocessed: 1"), "{second}");
+    assert!(first.await.unwrap().starts_with("HTTP/1.1 200"));
+    // Two and a half times what it can do in a second, and it stops.
+    let mut all = tokio::task::JoinSet::new();
+    for at in 0..30 {
+        all.spawn(async move { http(address, &fetch("k", &at.to_string())).await });
+    }
+    while all.join_next().await.is_some() {}
+    let counts = origin.counts();
+    assert!(counts.falls >= 1 && counts.peak > 2.4, "{counts:?}");
+    assert!(http(address, "BREW /k HTTP/1.1\r\n\r\n").await.starts_with("HTTP/1.1 405"));
+    assert!(http(address, "GET /k HTTP/1.1\r\n\r\n").await.starts_with("HTTP/1.1 400"));
+}
+
+fn entry(name: &str) -> Entry {
+    Entry {
+        name: name.into(),
+        addresses: [("n0".to_owned(), "127.0.0.1:9".parse().unwrap())].into(),
+        zone: "a".into(),
+        kind: "std".into(),
+        group: 0,
+        status: "active".into(),
+        weight: 1.0,
+        since: 0,
+        index: 1,
+    }
+}
+
+/// A watch, and what it has brought so far.
+struct Watch(TcpStream, String);
+
+impl Watch {
+    async fn open(address: Option<SocketAddr>, query: &str) -> Watch {
+        let mut stream = TcpStream::connect(address.unwrap()).await.unwrap();
+        let request = format!("GET /v1/servers?watch=1{query} HTTP/1.1\r\nHost: d\r\n\r\n");
+        stream.write_all(request.as_bytes()).await.unwrap();
+        Watch(stream, String::new())
+    }
+
+    /// Reads until a text has come; `false` at the connection's end.
+    async fn until(&mut self, text: &str) -> bool {
+        let mut buffer = [0; 4096];
+        while !self.1.contains(text) {
+            let read =
+                tokio::time::timeout(LONG, self.0.read(&mut buffer)).await.expect("in time").unwrap_or(0);
+            if read == 0 {
+                return false;
+            }
+            self.1.push_str(&String::from_utf8_lossy(&buffer[..read]));
+        }
+        true
+    }
+}
+
+#[tokio::test]
+async fn discovery_tells_changes_late_loses_watches_and_is_away() {
+    let doors = doors();
+    let entries = vec![entry("s-1"), entry("s-2")];
+    let discovery = Discovery::start(&doors, Recorder::none(), entries, Duration::ZERO).await.unwrap();
+    let whole = http(discovery.address("n0"), "GET /v1/servers HTTP/1.1\r\nHost: d\r\n\r\n").await;
+    assert!(
+        whole.contains(r#""snapshot":true"#) && whole.contains("s-1") && whole.contains("s-2"),
+        "{whole}"
+    );
+    let mut watch = Watch::open(discovery.address("n0"), "&after=1").await;
+    let begun = tokio::time::Instant::now();
+    discovery.change("s-1", "leaving", None, Duration::from_millis(150));
+    assert!(watch.until(r#""status":"leaving""#).await);
+    assert!(begun.elapsed() >= Duration::from_millis(150), "late as told");
+    assert!(
+        watch.1.contains(r#""snapshot":false"#) && !watch.1.contains("s-2"),
+        "only what changed: {}",
+        watch.1
+    );
+    discovery.trouble(Trouble::Dropping);
+    discovery.change("s-2", "left", None, Duration::ZERO);
+    assert!(watch.until(r#""status":"left""#).await);
+    assert!(!watch.until("nothing more").await, "the watch is lost");
+    let whole = http(discovery.address("n1"), "GET /v1/servers HTTP/1.1\r\nHost: d\r\n\r\n").await;
+    assert!(whole.contains("s-1") && !whole.contains("s-2"), "{whole}");
+    discovery.trouble(Trouble::Failing);
+    assert!(
+        http(discovery.address("n0"), "GET /v1/servers HTTP/1.1\r\n\r\n").await.starts_with("HTTP/1.1 503")
+    );
+    discovery.trouble(Trouble::None);
+    let mut open = Watch::open(discovery.address("n0"), "").await;
+    assert!(open.until("snapshot").await);
+    discovery.trouble(Trouble::Down);
+    assert!(!open.until("nothing more").await, "watches end");
+    while TcpStream::connect(discovery.address("n0").unwrap()).await.is_ok() {
+        tokio::time::sleep(Duration::from_millis(2)).await;
+    }
+    // What changes meanwhile is learned when it is up again.
+    discovery.change("s-2", "active", Some(Mono::now()), Duration::ZERO);
+    discovery.trouble(Trouble::None);
+    let mut back = loop {
+        if TcpStream::connect(discovery.address("n0").unwrap()).await.is_ok() {
+            break Watch::open(discovery.address("n0"), "&after=3").await;
+        }
+    };
+    assert!(back.until(r#""status":"active""#).await);
+    let since: u64 =
+        back.1.split(r#""since_ms":"#).nth(1).unwrap().split([',', '}']).next().unwrap().parse().unwrap();
+    let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap().as_millis() as u64;
+    assert!(since.abs_diff(now) < 60_000, "Unix time: {since}");
+    discovery.step(-3_600_000);
+    let stepped = http(discovery.address("n0"), "GET /v1/servers HTTP/1.1\r\n\r\n").await;
+    assert!(!stepped.contains(&format!("{since}")), "the clock of its reports has stepped");
+}
+
+async fn net(seed: u64) -> (PeerNet, Vec<UdpSocket>) {
+    let mut sockets = Vec::new();
+    for _ in 0..3 {
+        sockets.push(UdpSocket::bind("127.0.0.1:0").await.unwrap());
+    }
+    let nodes: Vec<_> =
+        sockets.iter().enumerate().map(|(i, s)| (format!("n{i}"), s.local_addr().unwrap())).collect();
+    (PeerNet::start(&nodes, "127.0.0.1".parse().unwrap(), seed).await.unwrap(), sockets)
+}
+
+/// What has come to a socket when nothing more comes.
+async fn came(socket: &UdpSocket) -> Vec<(u8, SocketAddr)> {
+    let (mut all, mut buffer) = (Vec::new(), [0; 512]);
+    while let Ok(Ok((_, from))) =
+        tokio::time::timeout(Duration::from_millis(300), socket.recv_from(&mut buffer)).await
+    {
+        all.push((buffer[0], from));
+    }
+    all
+}
+
+#[tokio::test]
+async fn datagrams_are_lost_doubled_and_reordered_alike_for_the_same_seed_and_cut_off_by_a_partition() {
+    let mut runs = Vec::new();
+    for seed in [5, 5, 6] {
+        let (net, sockets) = net(seed).await;
+        let delay = (Duration::from_millis(1), Duration::from_millis(80));
+        net.set(Weather { loss: 0.4, duplicate: 0.2, delay, ..Weather::default() });
+        for number in 0..100u8 {
+            sockets[0].send_to(&[number], net.peers(0)[1]).await.unwrap();
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+        let got = came(&sockets[1]).await;
+        assert!(
+            got.iter().all(|(_, from)| *from == net.peers(1)[0]),
+            "from the address that it knows the sender by"
+        );
+        let counts = net.counts();
+        assert!((20..60).contains(&counts.lost) && counts.doubled > 5, "{counts:?}");
+        assert!(got.windows(2).any(|pair| pair[0].0 > pair[1].0), "out of order");
+        let mut numbers: Vec<_> = got.iter().map(|(number, _)| *number).collect();
+        numbers.sort_unstable();
+        runs.push(numbers);
+    }
+    assert_eq!(runs[0], runs[1]);
+    assert_ne!(runs[0], runs[2]);
+    let (net, sockets) = net(1).await;
+    net.set(Weather { parts: vec![vec!["n0".into(), "n1".into()], vec!["n2".into()]], ..Weather::default() });
+    sockets[0].send_to(&[7], net.peers_all(0)).await.unwrap();
+    sockets[0].send_to(&[0; 300], net.peers(0)[1]).await.unwrap();
+    assert_eq!(came(&sockets[1]).await.len(), 1, "within the part, and nothing longer than 256 bytes");
+    assert!(came(&sockets[2]).await.is_empty(), "across it");
+    net.set(Weather::default());
+    sockets[0].send_to(&[8], net.peers_all(0)).await.unwrap();
+    assert_eq!(came(&sockets[2]).await.len(), 1, "healed");
+    assert_eq!(net.counts().too_long, 1);
+}
--- /dev/null
+++ b/crates/stonevane/src/bench.rs
@@ -0,0 +1,271 @@
+//! `stonevane bench`: what the lab itself can do.
+
+use std::fs::File;
+use std::io::{BufReader, BufWriter, Write};
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::{Child, Command, ExitCode, Stdio};
+use std::time::{Duration, Instant};
+
+use clap::Subcommand;
+use stonevane_audit::{Effect, Event, Line, Outcome, Rules, Span, audit};
+use stonevane_lab::{Fleet, Kind, Scenario, summarise};
+use stonevane_standin::client::{Clients, plan};
+use stonevane_standin::{Mono, Recorder};
+
+use crate::{NOT_RUN, node};
+
+/// Measurements; each prints its figures side by side from one run.
+#[derive(Subcommand)]
+pub enum Bench {
+    /// The node and a bare relay in its place, in turn: requests a second, times, CPU of a request.
+    #[command(after_help = "Example: stonevane bench lab --rounds 3 --for-s 2 --connections 16")]
+    Lab {
+        /// Turns of each.
+        #[arg(long, default_value_t = 3, value_parser = clap::value_parser!(u64).range(1..=50))]
+        rounds: u64,
+        /// Seconds of each turn.
+        #[arg(long, default_value_t = 2, value_parser = clap::value_parser!(u64).range(1..=60))]
+        for_s: u64,
+        /// Connections that ask as fast as answers come.
+        #[arg(long, default_value_t = 16, value_parser = clap::value_parser!(u64).range(1..=64))]
+        connections: u64,
+        /// The daemon's program; else the one beside this program.
+        #[arg(long, value_name = "FILE")]
+        node_program: Option<PathBuf>,
+    },
+    /// The auditor on a history that is made up, honest and large.
+    #[command(after_help = "Example: stonevane bench audit --events 1000000")]
+    Audit {
+        /// Its events, about.
+        #[arg(long, default_value_t = 1_000_000, value_parser = clap::value_parser!(u64).range(4..=100_000_000))]
+        events: u64,
+    },
+}
+
+impl Bench {
+    /// Measures.
+    pub fn run(self) -> ExitCode {
+        let done = match self {
+            Bench::Lab { rounds, for_s, connections, node_program } => {
+                let program = node::program(node_program.as_deref());
+                program.and_then(|program| lab(rounds, for_s, connections as usize, &program))
+            }
+            Bench::Audit { events } => auditor(events),
+        };
+        match done {
+            Ok(()) => ExitCode::SUCCESS,
+            Err(e) => {
+                warn!("stonevane: {e}");
+                ExitCode::from(NOT_RUN)
+            }
+        }
+    }
+}
+
+/// CPU that a process has used, in microseconds.
+fn cpu_us(pid: u32) -> Option<u64> {
+    let text = std::fs::read_to_string(format!("/proc/{pid}/schedstat")).ok()?;
+    let nanos: u64 = text.split_whitespace().next()?.parse().ok()?;
+    Some(nanos / 1_000)
+}
+
+struct Ended(Child);
+
+impl Drop for Ended {
+    fn drop(&mut self) {
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
+/// Caches that answer at once, all keys held, and a load that only reads.
+const SCENARIO: &str = "name = \"bench\"\n[fleet]\nnodes = 1\ncaches = 1\nwarm_keys = 1\nsockets = 512\n[fleet.cache]\n\
+    work_ms = 0\ncores = 64\n[load]\nper_s = 20000\nfor_ms = 1000\nedits = 0\nretries = 0\n";
+
+struct Figures {
+    per_s: f64,
+    p50_ms: f64,
+    p99_ms: f64,
+    cpu_us: f64,
+    own_us: f64,
+    other: u64,
+}
+
+fn lab(rounds: u64, for_s: u64, connections: usize, program: &std::path::Path) -> Result<(), String> {
+    let scenario = Scenario::parse(SCENARIO).map_err(|e| format!("{e:?}"))?;
+    say!("{connections} connections, {for_s} s a turn, {rounds} turns of each, history written");
+    say!(
+        "{:<7} {:>12} {:>9} {:>9} {:>14} {:>14} {:>7}",
+        "",
+        "requests/s",
+        "p50 ms",
+        "p99 ms",
+        "its CPU us/r",
+        "lab CPU us/r",
+        "other"
+    );
+    let mut ratios = Vec::new();
+    for _ in 0..rounds {
+        let mut pair = Vec::new();
+        for relayed in [false, true] {
+            let figures = turn(&scenario, for_s, connections, program, relayed)?;
+            say!(
+                "{:<7} {:>12.0} {:>9.2} {:>9.2} {:>14.1} {:>14.1} {:>7}",
+                if relayed { "relay" } else { "node" },
+                figures.per_s,
+                figures.p50_ms,
+                figures.p99_ms,
+                figures.cpu_us,
+                figures.own_us,
+                figures.other
+            );
+            pair.push(figures);
+        }
+        ratios.push((pair[0].per_s / pair[1].per_s, pair[0].cpu_us / pair[1].cpu_us));
+    }
+    ratios.sort_by(|a, b| a.0.total_cmp(&b.0));
+    let (rate, _) = ratios[ratios.len() / 2];
+    ratios.sort_by(|a, b| a.1.total_cmp(&b.1));
+    let (_, cpu) = ratios[ratios.len() / 2];
+    say!("node / relay, median of pairs: requests a second {rate:.2}, CPU of a request {cpu:.2}");
+    Ok(())
+}
+
+fn turn(
+    scenario: &Scenario,
+    for_s: u64,
+    connections: usize,
+    program: &std::path::Path,
+    relayed: bool,
+) -> Result<Figures, String> {
+    let text = |e: std::io::Error| e.to_string();
+    let path = std::env::temp_dir().join(format!("stonevane-bench-{}.jsonl", std::process::id()));
+    let (recorder, writer) = Recorder::to(File::create(&path).map_err(text)?);
+    let rules = Some(Box::new(Rules::default()));
+    recorder.line(Line { t: Mono::at(), who: "bench".into(), event: Event::Begin, rules, ..Line::default() });
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().map_err(text)?;
+    let own = std::process::id();
+    let (cpu, own_cpu) = runtime.block_on(async {
+        let mono = Mono::default();
+        let _beat = tokio::spawn(mono.clone().beat());
+        let kind = Kind::Process(program.into());
+        let fleet = Fleet::start(scenario, &kind, 1, &mono, &recorder).await.map_err(text)?;
+        let (targets, pid, _relay) = match relayed {
+            false => (fleet.targets.clone(), fleet.pids()[0], None),
+            true => {
+                let server = fleet.caches[0].address("n0").ok_or("the cache has no door")?;
+                let (relay, address) = start_relay(server).map_err(text)?;
+                (vec![("relay".to_owned(), address)], relay.0.id(), Some(relay))
+            }
+        };
+        let clients = Clients::new(&targets, scenario.load.clone(), 1, &mono, recorder.clone());
+        let planned = plan(&scenario.load, 1, 1);
+        // Warm: connections are up and the pages are there.
+        clients.hammer(&planned, connections, Mono::now() + 300_000).await;
+        let asked = clients.asked();
+        let begun = (cpu_us(pid).unwrap_or(0), cpu_us(own).unwrap_or(0));
+        clients.hammer(&planned, connections, Mono::now() + for_s * 1_000_000).await;
+        let count = (clients.asked() - asked).max(1) as f64;
+        let ended = (cpu_us(pid).unwrap_or(0), cpu_us(own).unwrap_or(0));
+        fleet.end().await;
+        Ok::<_, String>(((ended.0 - begun.0) as f64 / count, (ended.1 - begun.1) as f64 / count))
+    })?;
+    drop((runtime, recorder));
+    writer.finish().map_err(text)?;
+    let file = BufReader::new(File::open(&path).map_err(text)?);
+    let summary = summarise(file).map_err(|e| e.to_string());
+    let _ = std::fs::remove_file(&path);
+    let summary = summary?;
+    let class = summary.classes.get("zone-lookup").ok_or("nothing was asked")?;
+    let whole = for_s as f64 + 0.3;
+    Ok(Figures {
+        per_s: class.served as f64 / whole,
+        p50_ms: class.p50_ms,
+        p99_ms: class.p99_ms,
+        cpu_us: cpu,
+        own_us: own_cpu,
+        other: class.refused + class.failed,
+    })
+}
+
+/// A relay as a process of its own, as the node is one.
+fn start_relay(server: SocketAddr) -> std::io::Result<(Ended, SocketAddr)> {
+    let own = std::env::current_exe()?;
+    let mut child = Command::new(own)
+        .args(["stand-in", "relay", "--server", &server.to_string()])
+        .stdout(Stdio::piped())
+        .spawn()?;
+    let out = child.stdout.take();
+    let child = Ended(child);
+    let mut line = String::new();
+    if let Some(out) = out {
+        std::io::BufRead::read_line(&mut BufReader::new(out), &mut line)?;
+    }
+    let address = line.trim().rsplit(' ').next().and_then(|a| a.parse().ok());
+    Ok((child, address.ok_or_else(|| std::io::Error::other("the relay did not start"))?))
+}
+
+/// Writes a history of reads that hit, four events each, and audits it.
+fn auditor(events: u64) -> Result<(), String> {
+    let text = |e: std::io::Error| e.to_string();
+    let path = std::env::temp_dir().join(format!("stonevane-audit-{}.jsonl", std::process::id()));
+    let mut out = BufWriter::new(File::create(&path).map_err(text)?);
+    let mut write = |line: Line| out.write_all(line.text().as_bytes()).map_err(text);
+    write(Line { event: Event::Begin, rules: Some(Box::new(Rules::default())), ..Line::default() })?;
+    let at = |us: u64| Span { begun: us.saturating_sub(40), ended: us };
+    for number in 0..events / 4 {
+        let t = 1_000 + number * 500;
+        let (request, node, class) = (format!("r{number:x}"), "n0".to_owned(), "read".to_owned());
+        let value = format!("v-{number:x}");
+        let base = |t, event, who: &str| Line {
+            t: at(t),
+            event,
+            who: who.into(),
+            request: request.clone(),
+            ..Line::default()
+        };
+        let key = format!("{:016x}", number % 5_000);
+        write(Line {
+            node: node.clone(),
+            class: class.clone(),
+            key,
+            until: t + 1_500_000,
+            ..base(t, Event::Ask, "client")
+        })?;
+        let effect = Some(Effect::Ran);
+        write(Line {
+            node: node.clone(),
+            class,
+            effect,
+            number,
+            work_us: 4_000,
+            ..base(t + 50, Event::Attempt, "s-1")
+        })?;
+        write(Line { number, value: value.clone(), ..base(t + 100, Event::Reply, "s-1") })?;
+        write(Line {
+            node,
+            outcome: Some(Outcome::Served),
+            value,
+            ..base(t + 150, Event::Answer, "client")
+        })?;
+    }
+    out.flush().map_err(text)?;
+    drop(out);
+    let bytes = std::fs::metadata(&path).map_err(text)?.len();
+    let begun = Instant::now();
+    let report = audit(BufReader::with_capacity(1 << 20, File::open(&path).map_err(text)?));
+    let took = begun.elapsed().max(Duration::from_micros(1));
+    let _ = std::fs::remove_file(&path);
+    let report = report.map_err(|e| e.to_string())?;
+    say!(
+        "{} events, {:.0} MB: {:.2} s, {:.0} events/s; at most {} requests held; {} breaches",
+        report.events,
+        bytes as f64 / 1e6,
+        took.as_secs_f64(),
+        report.events as f64 / took.as_secs_f64(),
+        report.held_at_most,
+        report.broken
+    );
+    Ok(())
+}
--- /dev/null
+++ b/crates/stonevane/src/main.rs
@@ -0,0 +1,122 @@
+//! `stonevane`: the command line beside the daemon.
+
+/// Prints a line; nobody who closes its end is a reason to stop.
+macro_rules! say {
+    ($($part:tt)*) => {{
+        use std::io::Write as _;
+        let _ = writeln!(std::io::stdout(), $($part)*);
+    }};
+}
+
+/// The same on standard error.
+macro_rules! warn {
+    ($($part:tt)*) => {{
+        use std::io::Write as _;
+        let _ = writeln!(std::io::stderr(), $($part)*);
+    }};
+}
+
+mod bench;
+mod demo;
+mod lab;
+mod node;
+mod standin;
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use clap::{Parser, Subcommand};
+use stonevane_config::operator::Operator;
+
+/// The command line beside the daemon: check configuration, run the lab, audit histories, run stand-ins.
+#[derive(Parser)]
+#[command(
+    name = "stonevane",
+    version,
+    after_help = "Examples:
+  stonevane demo                                       a whole fleet to speak to, with the commands to try
+  stonevane config check deploy/operator.toml          what is wrong with an operator file
+  stonevane lab list                                   the scenarios that come along
+  stonevane lab run kill-cache --chart run.svg         a fleet with faults, and the verdict on the four rules
+  stonevane lab audit run.jsonl                        the verdict on a kept history
+  stonevane stand-in cache --listen 127.0.0.1:7001     one stand-in by hand
+
+Exit codes: 0 all holds, 1 a rule or an expectation is broken, 2 the input can't be used, 3 it could not be run."
+)]
+struct Cli {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Configuration, without a node.
+    #[command(subcommand)]
+    Config(Config),
+    /// The lab: real nodes between stand-ins, faults by script, the auditor's verdict.
+    #[command(subcommand)]
+    Lab(lab::Lab),
+    /// Runs one stand-in by hand, until it is interrupted.
+    #[command(subcommand)]
+    StandIn(standin::StandIn),
+    /// Builds and serves a demo fleet: nodes, caches, origin and discovery, to be spoken to.
+    Demo(demo::Demo),
+    /// Measures the lab itself: the node and a bare relay in its place, side by side.
+    #[command(subcommand)]
+    Bench(bench::Bench),
+}
+
+#[derive(Subcommand)]
+enum Config {
+    /// Checks an operator file, and lists all that is wrong with it.
+    #[command(after_help = "Example: stonevane config check deploy/operator.toml")]
+    Check {
+        /// The file.
+        file: PathBuf,
+    },
+}
+
+/// Exit code: a rule or an expectation is broken.
+const BROKEN: u8 = 1;
+/// Exit code: the input can't be used.
+const UNUSABLE: u8 = 2;
+/// Exit code: it could not be run to its end.
+const NOT_RUN: u8 = 3;
+
+/// Reads a file, or says in one line why it can't be.
+fn read(file: &std::path::Path) -> Result<String, ExitCode> {
+    std::fs::read_to_string(file).map_err(|e| {
+        warn!("stonevane: {}: {e}", file.display());
+        ExitCode::from(UNUSABLE)
+    })
+}
+
+/// Says what is wrong with a file, a line for each fault.
+fn faults(file: &str, faults: &[stonevane_config::Fault]) -> ExitCode {
+    faults.iter().for_each(|fault| warn!("stonevane: {file}: {fault}"));
+    ExitCode::from(UNUSABLE)
+}
+
+fn check(file: &std::path::Path) -> ExitCode {
+    let text = match read(file) {
+        Ok(text) => text,
+        Err(code) => return code,
+    };
+    match Operator::parse(&text) {
+        Ok(_) => {
+            say!("{}: good", file.display());
+            ExitCode::SUCCESS
+        }
+        Err(wrong) => faults(&file.display().to_string(), &wrong),
+    }
+}
+
+fn main() -> ExitCode {
+    match Cli::parse().command {
+        Command::Config(Config::Check { file }) => check(&file),
+        Command::Lab(lab) => lab.run(),
+        Command::StandIn(standin) => standin.run(),
+        Command::Demo(demo) => demo.run(),
+        Command::Bench(bench) => bench.run(),
+    }
+}
--- /dev/null
+++ b/crates/stonevane/tests/cli.rs
@@ -0,0 +1,316 @@
+//! The command line, as its users meet it.
+#![allow(missing_docs)]
+
+use std::io::{BufRead, BufReader};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Output, Stdio};
+use std::sync::{Mutex, OnceLock};
+
+const STONEVANE: &str = env!("CARGO_BIN_EXE_stonevane");
+
+fn stonevane(args: &[&str]) -> Output {
+    Command::new(STONEVANE).args(args).env_remove("CARGO").output().unwrap()
+}
+
+fn text(bytes: &[u8]) -> String {
+    String::from_utf8_lossy(bytes).into_owned()
+}
+
+/// The daemon, built once where no other test has.
+fn node() -> &'static str {
+    static NODE: OnceLock<String> = OnceLock::new();
+    NODE.get_or_init(|| {
+        let folder = Path::new(STONEVANE).parent().unwrap();
+        let mut build = Command::new(env!("CARGO"));
+        build.args(["build", "--locked", "-q", "-p", "stonevane-node"]);
+        if folder.ends_with("release") {
+            build.arg("--release");
+        }
+        assert!(build.status().unwrap().success());
+        folder.join("spardeal-node").display().to_string()
+    })
+}
+
+/// A file that goes when its test ends.
+struct Temp(PathBuf);
+
+impl Temp {
+    fn new(name: &str, text: &str) -> Temp {
+        let path = std::env::temp_dir().join(format!("stonevane-cli-{}-{name}", std::process::id()));
+        std::fs::write(&path, text).unwrap();
+        Temp(path)
+    }
+
+    fn path(&self) -> &str {
+        self.0.to_str().unwrap()
+    }
+}
+
+impl Drop for Temp {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_file(&self.0);
+    }
+}
+
+#[test]
+fn an_operator_file_is_checked_with_a_line_for_each_fault() {
+    let shipped = concat!(env!("CARGO_MANIFEST_DIR"), "/../../deploy/operator.toml");
+    let good = stonevane(&["config", "check", shipped]);
+    assert!(good.status.success() && text(&good.stdout).ends_with("good\n"), "{good:?}");
+    let bad = Temp::new("bad.toml", "[clients]\nidel_ms = 3\nfirst_ms = 0\n");
+    let checked = stonevane(&["config", "check", bad.path()]);
+    assert_eq!(checked.status.code(), Some(2));
+    let lines: Vec<_> = text(&checked.stderr).lines().map(str::to_owned).collect();
+    assert_eq!(lines.len(), 2, "{lines:?}");
+    assert!(
+        lines[0].ends_with("line 2, column 1: unknown key `idel_ms` in [clients]; did you mean `idle_ms`?")
+    );
+    let missing = stonevane(&["config", "check", "/no/such/file"]);
+    assert_eq!((missing.status.code(), text(&missing.stderr).lines().count()), (Some(2), 1));
+}
+
+#[test]
+fn scenarios_are_listed_one_a_line_and_the_first_is_calm() {
+    let listed = stonevane(&["lab", "list"]);
+    let listed = text(&listed.stdout);
+    assert!(listed.lines().count() >= 10);
+    assert_eq!(listed.lines().next().unwrap().split_whitespace().next(), Some("calm"));
+}
+
+#[test]
+fn a_bad_scenario_or_history_is_exit_2_with_its_places() {
+    let bad = Temp::new("bad-scenario.toml", "name = 'x'\n[load]\nper_sec = 3\n[[fault]]\ndo = 'kil'\n");
+    let run = stonevane(&["lab", "run", bad.path()]);
+    assert_eq!(run.status.code(), Some(2));
+    let said = text(&run.stderr);
+    assert!(
+        said.contains("line 3, column 1: unknown key `per_sec` in [load]; did you mean `per_s`?"),
+        "{said}"
+    );
+    assert!(said.contains("line 5, column 6: `do` has no `kil`; did you mean `kill`?"), "{said}");
+    let unknown = stonevane(&["lab", "run", "clam"]);
+    assert_eq!(unknown.status.code(), Some(2));
+    assert!(text(&unknown.stderr).contains("did you mean `calm`?"));
+    let history = Temp::new("bad.jsonl", "{\"event\":\"begin\",\"rules\":{}}\n{\"event\":\"aks\"}\n{}\n");
+    let audited = stonevane(&["lab", "audit", history.path()]);
+    assert_eq!(audited.status.code(), Some(2));
+    assert!(text(&audited.stderr).contains("line 2: column"), "{}", text(&audited.stderr));
+    assert_eq!(stonevane(&["lab", "audit", "/no/such/file"]).status.code(), Some(2));
+}
+
+/// Runs a scenario with the real node; what it printed as JSON, with its exit code.
+fn run(name: &str, more: &[&str]) -> (Option<i32>, serde_json::Value, String) {
+    let mut args = vec!["lab", "run", name, "--json", "-", "--node-program", node()];
+    args.extend(more);
+    let output = stonevane(&args);
+    let json = serde_json::from_slice(&output.stdout).unwrap_or_default();
+    (output.status.code(), json, text(&output.stderr))
+}
+
+#[test]
+fn every_scenario_holds_with_the_real_node() {
+    let listed = text(&stonevane(&["lab", "list"]).stdout);
+    let names: Vec<_> =
+        listed.lines().filter_map(|l| l.split_whitespace().next()).map(str::to_owned).collect();
+    let left = Mutex::new(names);
+    let wrong = Mutex::new(Vec::new());
+    node();
+    std::thread::scope(|scope| {
+        for _ in 0..3 {
+            scope.spawn(|| {
+                loop {
+                    let Some(name) = left.lock().unwrap().pop() else { return };
+                    let (code, json, said) = run(&name, &[]);
+                    if code != Some(0) {
+                        let parts =
+                            [&json["expects"], &json["report"]["findings"], &json["summary"]["classes"]];
+                        wrong.lock().unwrap().push(format!("{name}: exit {code:?}, {parts:?}\n{said}"));
+                    }
+                }
+            });
+        }
+    });
+    let wrong = wrong.into_inner().unwrap();
+    assert!(wrong.is_empty(), "{}", wrong.join("\n"));
+}
+
+#[test]
+fn the_same_seed_gives_the_same_load_and_verdict_and_another_seed_another_load() {
+    let short = Temp::new(
+        "short.toml",
+        "name = 'short'\nexpect = ['served >= 0.9']\n[load]\nfor_ms = 800\n[[fault]]\ndo = 'vanish'\nto = 'cache-1'\nat_ms = 300\nfor_ms = 200\n",
+    );
+    let (code, one, _) = run(short.path(), &["--seed", "7"]);
+    let (again, two, _) = run(short.path(), &["--seed", "7"]);
+    let (_, other, _) = run(short.path(), &["--seed", "8"]);
+    assert_eq!((code, again), (Some(0), Some(0)));
+    for part in ["load", "seed", "holds", "scenario"] {
+        assert_eq!(one[part], two[part], "{part}");
+    }
+    let words = |run: &serde_json::Value| {
+        let faults = run["summary"]["faults"].as_array().unwrap().clone();
+        faults.into_iter().map(|fault| fault[1].clone()).collect::<Vec<_>>()
+    };
+    assert_eq!(words(&one), words(&two));
+    assert_ne!(one["load"], other["load"]);
+}
+
+#[test]
+fn what_is_expected_and_not_found_is_exit_1() {
+    let hard = Temp::new("hard.toml", "name = 'hard'\nexpect = ['asked <= 3']\n[load]\nfor_ms = 300\n");
+    let (code, json, _) = run(hard.path(), &[]);
+    assert_eq!((code, &json["holds"]), (Some(1), &serde_json::Value::Bool(false)));
+    assert_eq!(json["report"]["broken"], 0);
+}
+
+#[test]
+fn a_crooked_node_is_exit_1_and_its_kept_history_says_the_same_again() {
+    let history = Temp::new("crooked.jsonl", "");
+    let chart = Temp::new("crooked.svg", "");
+    let args = [
+        "lab",
+        "run",
+        "calm",
+        "--crooked",
+        "answers-twice",
+        "--history",
+        history.path(),
+        "--chart",
+        chart.path(),
+    ];
+    let run = stonevane(&args);
+    assert_eq!(run.status.code(), Some(1));
+    let said = text(&run.stdout);
+    assert!(said.contains("rule 1") && said.contains("twice"), "{said}");
+    let audited = stonevane(&["lab", "audit", history.path()]);
+    assert_eq!(audited.status.code(), Some(1));
+    let last = |text: &str| text.lines().last().map(str::to_owned);
+    assert_eq!(last(&text(&audited.stdout)), last(&said));
+    let lines = std::fs::read_to_string(&history.0).unwrap();
+    let answers = lines.lines().filter(|l| l.contains("\"event\":\"answer\""));
+    assert!(answers.clone().count() > 100 && answers.clone().all(|l| l.contains("\"outcome\":")));
+    let svg = std::fs::read_to_string(&chart.0).unwrap();
+    assert!(svg.starts_with("<svg") && svg.ends_with("</svg>\n"));
+}
+
+#[test]
+fn a_lab_that_is_killed_while_it_writes_leaves_a_history_that_can_be_read() {
+    let history = Temp::new("killed.jsonl", "");
+    // Little nodes: no process is left behind.
+    let args = ["lab", "run", "calm", "--crooked", "honest", "--history", history.path()];
+    let mut lab =
+        Command::new(STONEVANE).args(args).stderr(Stdio::null()).stdout(Stdio::null()).spawn().unwrap();
+    wait_for(|| std::fs::read_to_string(&history.0).is_ok_and(|text| text.lines().count() > 300));
+    lab.kill().unwrap();
+    lab.wait().unwrap();
+    let whole = std::fs::read(&history.0).unwrap();
+    for cut in 0..40 {
+        std::fs::write(&history.0, &whole[..whole.len() - cut]).unwrap();
+        let audited = stonevane(&["lab", "audit", history.path()]);
+        assert_eq!(audited.status.code(), Some(0), "{cut} bytes less: {}", text(&audited.stdout));
+    }
+}
+
+#[test]
+fn a_lab_that_is_interrupted_ends_every_process_that_it_started() {
+    for signal in ["INT", "TERM"] {
+        let program = node();
+        let mut lab = Command::new(STONEVANE)
+            .args(["lab", "run", "calm", "--node-program", program])
+            .stderr(Stdio::piped())
+            .stdout(Stdio::null())
+            .spawn()
+            .unwrap();
+        // Its first line of progress: the nodes run.
+        let mut line = String::new();
+        BufReader::new(lab.stderr.take().unwrap()).read_line(&mut line).unwrap();
+        let nodes = children(lab.id());
+        assert!(nodes.len() >= 2, "{nodes:?}");
+        let kill = format!("kill -{signal} {}", lab.id());
+        assert!(Command::new("/bin/sh").arg("-c").arg(kill).status().unwrap().success());
+        assert_eq!(lab.wait().unwrap().code(), Some(3), "SIG{signal}");
+        wait_for(|| nodes.iter().all(|pid| !Path::new(&format!("/proc/{pid}")).exists()));
+    }
+}
+
+fn children(pid: u32) -> Vec<u32> {
+    let text = std::fs::read_to_string(format!("/proc/{pid}/task/{pid}/children")).unwrap_or_default();
+    text.split_whitespace().filter_map(|pid| pid.parse().ok()).collect()
+}
+
+fn wait_for(done: impl Fn() -> bool) {
+    for _ in 0..2_000 {
+        if done() {
+            return;
+        }
+        std::thread::sleep(std::time::Duration::from_millis(10));
+    }
+    panic!("waited 20 s in vain");
+}
+
+/// A stand-in by hand, ended when dropped, and its address.
+struct ByHand(Child, String);
+
+impl ByHand {
+    fn start(args: &[&str]) -> ByHand {
+        let mut child = Command::new(STONEVANE)
+            .arg("stand-in")
+            .args(args)
+            .stdin(Stdio::piped())
+            .stdout(Stdio::piped())
+            .spawn()
+            .unwrap();
+        let mut line = String::new();
+        BufReader::new(child.stdout.take().unwrap()).read_line(&mut line).unwrap();
+        let address = line.trim().rsplit(' ').next().unwrap().to_owned();
+        ByHand(child, address)
+    }
+}
+
+impl Drop for ByHand {
+    fn drop(&mut self) {
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
+#[test]
+fn stand_ins_by_hand_make_a_fleet_of_processes_round_a_node() {
+    let cache = ByHand::start(&["cache", "--name", "s-1", "--cold"]);
+    let origin = ByHand::start(&["origin", "--cache", &cache.1, "--read-ms", "5"]);
+    let (server, store) = (format!("s-1={}", cache.1), format!("o-1={}", origin.1));
+    let discovery = ByHand::start(&["discovery", "--server", &server, "--origin", &store]);
+    let settings = r#"{"balancers":1,"me":0,"zone":0,"zones":["a"],"machineTypes":["std","origin"],"discovery":"ask",
+        "classes":[{"name":"zone-lookup","goalTimeUs":750000,"deadlineUs":1500000,"effect":"pure"},
+          {"name":"zone-edit","goalTimeUs":150000,"deadlineUs":300000,"effect":"token","dedupScope":"all","dedupWindowUs":200000}],
+        "realms":[{"name":"coastline","quotaPerS":500},{"name":"dishdash","quotaPerS":500},{"name":"reef-eats","quotaPerS":500}],
+        "specifics":{"mode":"aside","originKind":1},"limits":{"maxAttempts":4,"mayCancel":true}}"#;
+    let listen = std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let config = format!(
+        r#"{{"name":"n0","listen":"{listen}","discovery":"{}","seed":"1","settings":{settings}}}"#,
+        discovery.1
+    );
+    let config = Temp::new("by-hand.json", &config);
+    let child =
+        Command::new(node()).env("ROUTER_CONFIG", config.path()).stderr(Stdio::null()).spawn().unwrap();
+    let _node = ByHand(child, String::new());
+    let ready = || {
+        use std::io::{Read, Write};
+        let Ok(mut stream) = std::net::TcpStream::connect(listen) else { return false };
+        let mut answer = [0; 5];
+        stream.write_all(b"*1\r\n$4\r\nPING\r\n").is_ok()
+            && stream.read_exact(&mut answer).is_ok()
+            && &answer == b"+PONG"
+    };
+    wait_for(ready);
+    let node = listen.to_string();
+    let played = stonevane(&["stand-in", "client", "--node", &node, "--per-s", "60", "--for-s", "2"]);
+    let said = text(&played.stdout);
+    assert!(played.status.success(), "{said} {}", text(&played.stderr));
+    let reads = said.lines().find(|l| l.starts_with("zone-lookup")).unwrap_or_default();
+    let number = |what: &str| -> f64 {
+        let before = reads.split(what).next().unwrap_or("").trim();
+        before.rsplit(' ').next().unwrap_or("").parse().unwrap_or(0.0)
+    };
+    assert!(number(" asked") > 60.0 && number(" served") >= 0.9 * number(" asked"), "{said}");
+}
