Add the store of record's package: SQLite, the shared fetch, the breaker, and its commands

Need: every miss ends at one slow store, misses for one key each ask it anew, and an edit whose answer is lost must be neither lost nor done twice.

Change: stonevane-store with a typed contract; SQLite with one writer that groups commits, several readers, bounded queues, typed failures, forms that go forward only, foreign and newer files refused untouched; a store is made under another name first, since a kill had left its mark in the log only and the file was refused; the shared fetch with a fence at edits and the breaker as pure machines, each against a plain model. Commands: store init|check|import|export|put|torture, bench store. The daemon does not link it yet: the issue stays open.

--- /dev/null
+++ b/crates/stonevane-store/src/contract.rs
@@ -0,0 +1,139 @@
+//! What a store of record does, and how it fails.
+
+use std::fmt;
+
+/// The longest key, in bytes; keys are UTF-8 with no control characters.
+pub const MAX_KEY: usize = 512;
+/// The longest value, in bytes.
+pub const MAX_VALUE: usize = 64 * 1024;
+/// The longest idempotency key, in bytes.
+pub const MAX_TOKEN: usize = 512;
+
+/// A zone as the store holds it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Zone {
+    /// Its key.
+    pub key: String,
+    /// Its value.
+    pub value: Vec<u8>,
+    /// The version of the store at which it last changed: over all keys, each edit has its own.
+    pub version: u64,
+    /// When, Unix time in milliseconds.
+    pub edited_at: u64,
+}
+
+/// An edit.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Edit {
+    /// The key that changes.
+    pub key: String,
+    /// Its new value.
+    pub value: Vec<u8>,
+    /// The idempotency key: a repeat with the same one is given the first receipt, and changes nothing.
+    pub token: Option<String>,
+    /// For how long a repeat must be known, milliseconds.
+    pub remember_ms: u64,
+}
+
+/// What an edit is given.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Receipt {
+    /// The version that the edit made.
+    pub version: u64,
+    /// Whether this was a repeat, and changed nothing.
+    pub repeat: bool,
+}
+
+/// A change, for those who follow the store.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Change {
+    /// The key.
+    pub key: String,
+    /// Its version.
+    pub version: u64,
+}
+
+/// Why a store did not do what it was asked.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum StoreError {
+    /// The key, value or idempotency key is past its bounds; nothing was done.
+    Bounds(&'static str),
+    /// The queue before the store is full, or another process holds it: nothing was done.
+    Busy,
+    /// The disk is full: nothing was done.
+    Full,
+    /// The file is damaged.
+    Corrupt(String),
+    /// The file is of a newer form than this program knows; it was not touched.
+    Newer {
+        /// The form of the file.
+        found: u32,
+        /// The newest form that is known.
+        known: u32,
+    },
+    /// The file is not a store of this program; it was not touched.
+    Foreign,
+    /// An idempotency key was used for another edit.
+    Conflict,
+    /// The store has ended, and whether the edit was done is not known.
+    Closed,
+    /// Anything else that the system said.
+    Io(String),
+}
+
+impl StoreError {
+    /// Whether an edit that ended so has surely not been done.
+    pub fn proves_not_done(&self) -> bool {
+        !matches!(self, StoreError::Closed | StoreError::Io(_) | StoreError::Corrupt(_))
+    }
+}
+
+impl fmt::Display for StoreError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            StoreError::Bounds(what) => write!(f, "{what} is past its bounds"),
+            StoreError::Busy => write!(f, "the store is busy"),
+            StoreError::Full => write!(f, "the disk is full"),
+            StoreError::Corrupt(what) => write!(f, "the file is damaged: {what}"),
+            StoreError::Newer { found, known } => {
+                write!(
+                    f,
+                    "the file is of form {found}, and this program knows forms up to {known}; not touched"
+                )
+            }
+            StoreError::Foreign => write!(f, "the file is not a store of this program; not touched"),
+            StoreError::Conflict => write!(f, "the idempotency key was used for another edit"),
+            StoreError::Closed => write!(f, "the store has ended"),
+            StoreError::Io(what) => write!(f, "{what}"),
+        }
+    }
+}
+
+impl std::error::Error for StoreError {}
+
+/// Whether a key is within its bounds.
+///
+/// # Errors
+/// [`StoreError::Bounds`] where it is not.
+pub fn check_key(key: &str) -> Result<(), StoreError> {
+    let good = !key.is_empty() && key.len() <= MAX_KEY && !key.chars().any(char::is_control);
+    if good { Ok(()) } else { Err(StoreError::Bounds("the key")) }
+}
+
+impl Edit {
+    /// Whether all of it is within its bounds.
+    ///
+    /// # Errors
+    /// [`StoreError::Bounds`] where it is not.
+    pub fn check(&self) -> Result<(), StoreError> {
+        check_key(&self.key)?;
+        if self.value.len() > MAX_VALUE {
+            return Err(StoreError::Bounds("the value"));
+        }
+        let token = self.token.as_deref();
+        if token.is_some_and(|token| token.is_empty() || token.len() > MAX_TOKEN) {
+            return Err(StoreError::Bounds("the idempotency key"));
+        }
+        Ok(())
+    }
+}
--- a/crates/stonevane/src/main.rs
+++ b/crates/stonevane/src/main.rs
@@ -21,6 +21,7 @@
 mod lab;
 mod node;
 mod standin;
+mod store;
 
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -39,6 +40,7 @@
   stonevane lab list                                   the scenarios that come along
   stonevane lab run kill-cache --chart run.svg         a fleet with faults, and the verdict on the four rules
   stonevane lab audit run.jsonl                        the verdict on a kept history
+  stonevane store import zones.db zones.csv            zones into a store of record
   stonevane stand-in cache --listen 127.0.0.1:7001     one stand-in by hand
 
 Exit codes: 0 all holds, 1 a rule or an expectation is broken, 2 the input can't be used, 3 it could not be run."
@@ -59,6 +61,9 @@
     /// Runs one stand-in by hand, until it is interrupted.
     #[command(subcommand)]
     StandIn(standin::StandIn),
+    /// The store of record: make, check, import, export, torture.
+    #[command(subcommand)]
+    Store(store::Store),
     /// Builds and serves a demo fleet: nodes, caches, origin and discovery, to be spoken to.
     Demo(demo::Demo),
     /// Measures the lab itself: the node and a bare relay in its place, side by side.
@@ -116,6 +121,7 @@
         Command::Config(Config::Check { file }) => check(&file),
         Command::Lab(lab) => lab.run(),
         Command::StandIn(standin) => standin.run(),
+        Command::Store(store) => store.run(),
         Command::Demo(demo) => demo.run(),
         Command::Bench(bench) => bench.run(),
     }
--- /dev/null
+++ b/crates/stonevane/tests/store.rs
@@ -0,0 +1,118 @@
+//! `stonevane store`, as operators meet it.
+#![allow(missing_docs)]
+
+use std::path::{Path, PathBuf};
+use std::process::{Command, Output};
+
+fn store(args: &[&str]) -> Output {
+    Command::new(env!("CARGO_BIN_EXE_stonevane")).arg("store").args(args).output().unwrap()
+}
+
+fn text(bytes: &[u8]) -> String {
+    String::from_utf8_lossy(bytes).into_owned()
+}
+
+/// A folder that goes when its test ends.
+struct Folder(PathBuf);
+
+impl Folder {
+    fn new(name: &str) -> Folder {
+        let path = std::env::temp_dir().join(format!("stonevane-store-cli-{}-{name}", std::process::id()));
+        std::fs::create_dir_all(&path).unwrap();
+        Folder(path)
+    }
+
+    fn path(&self, name: &str) -> String {
+        self.0.join(name).display().to_string()
+    }
+}
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.0);
+    }
+}
+
+#[test]
+fn zones_go_in_and_out_again_as_they_were_in_both_forms() {
+    let folder = Folder::new("round");
+    let (file, from) = (folder.path("zones.db"), folder.path("in.csv"));
+    let rows: Vec<_> = (0..2_500).map(|at| format!("key-{at:05},\"a \"\"{at}\"\", b\nc é\"\n")).collect();
+    let csv = format!("key,value\n{}", rows.concat());
+    std::fs::write(&from, &csv).unwrap();
+    assert!(store(&["init", &file]).status.success());
+    let done = store(&["import", &file, &from]);
+    assert_eq!(text(&done.stdout), "2500 zones imported\n", "{}", text(&done.stderr));
+    let (out, lines) = (folder.path("out.csv"), folder.path("out.jsonl"));
+    assert!(store(&["export", &file, &out]).status.success());
+    assert_eq!(std::fs::read_to_string(&out).unwrap(), csv);
+    assert!(store(&["export", &file, &lines]).status.success());
+    let other = folder.path("other.db");
+    assert!(store(&["init", &other]).status.success() && store(&["import", &other, &lines]).status.success());
+    let again = folder.path("again.csv");
+    assert!(store(&["export", &other, &again]).status.success());
+    assert_eq!(std::fs::read_to_string(&again).unwrap(), csv);
+    assert_eq!(text(&store(&["check", &file]).stdout), format!("{file}: good, 2500 zones\n"));
+}
+
+#[test]
+fn an_import_that_was_broken_off_goes_on_where_it_stopped() {
+    let folder = Folder::new("resume");
+    let (file, from) = (folder.path("zones.db"), folder.path("in.jsonl"));
+    let line = |at: usize, value: &str| format!("{{\"key\":\"k{at:05}\",\"value\":\"{value}\"}}\n");
+    let good = |value| (0..1_500).map(|at| line(at, value)).collect::<String>();
+    // A bad line of the same length as the good one that it becomes.
+    let bad = line(1_500, "x").replace("\"key\":", "\"kex\":");
+    std::fs::write(&from, good("1") + &bad).unwrap();
+    assert!(store(&["init", &file]).status.success());
+    let broken = store(&["import", &file, &from]);
+    assert_eq!(broken.status.code(), Some(2));
+    assert!(text(&broken.stderr).contains("line 1501: not an object"), "{}", text(&broken.stderr));
+    // What was done stays done: its first thousand lines are not read again.
+    std::fs::write(&from, good("2") + &line(1_500, "x")).unwrap();
+    let went_on = store(&["import", &file, &from]);
+    assert!(text(&went_on.stderr).contains("goes on after line 1000"), "{}", text(&went_on.stderr));
+    assert_eq!(text(&went_on.stdout), "501 zones imported\n");
+    let out = folder.path("out.jsonl");
+    assert!(store(&["export", &file, &out]).status.success());
+    let out = std::fs::read_to_string(&out).unwrap();
+    assert_eq!(out.lines().count(), 1_501);
+    assert!(out.lines().nth(999).unwrap().contains("\"value\":\"1\""));
+    assert!(out.lines().nth(1_000).unwrap().contains("\"value\":\"2\""));
+}
+
+#[test]
+fn what_can_not_be_used_is_one_line_and_exit_2_and_not_touched() {
+    let folder = Folder::new("bad");
+    let (file, foreign) = (folder.path("zones.db"), folder.path("foreign.db"));
+    std::fs::write(&foreign, "not a store").unwrap();
+    for args in [["check", &foreign], ["init", &foreign], ["check", &file]] {
+        let refused = store(&args);
+        assert_eq!((refused.status.code(), text(&refused.stderr).lines().count()), (Some(2), 1), "{args:?}");
+    }
+    assert_eq!(std::fs::read(&foreign).unwrap(), b"not a store");
+    assert!(!Path::new(&file).exists(), "a check makes no store");
+    assert!(store(&["init", &file]).status.success());
+    for (name, bytes, said) in [
+        ("header.csv", &b"zone,area\na,1\n"[..], "line 1: the header is to be key,value"),
+        ("columns.csv", b"key,value\na,1\nb\n", "line 3: not a key and a value"),
+        ("utf8.csv", b"key,value\na\xff,1\n", "line 2: the key is not UTF-8"),
+        ("control.csv", b"key,value\na\x07,1\n", "line 2: the key is past its bounds"),
+        ("ending.txt", b"key,value\n", "its name is to end in .csv or .jsonl"),
+    ] {
+        let from = folder.path(name);
+        std::fs::write(&from, bytes).unwrap();
+        let refused = store(&["import", &file, &from]);
+        assert_eq!(refused.status.code(), Some(2), "{name}");
+        assert!(text(&refused.stderr).contains(said), "{name}: {}", text(&refused.stderr));
+    }
+    assert_eq!(text(&store(&["check", &file]).stdout), format!("{file}: good, 0 zones\n"));
+}
+
+#[test]
+fn kills_at_random_moments_lose_no_receipt_and_do_no_edit_twice() {
+    let folder = Folder::new("kill");
+    let done = store(&["torture", &folder.path("scratch.db"), "--kills", "60"]);
+    assert!(done.status.success(), "{}", text(&done.stderr));
+    assert!(text(&done.stdout).starts_with("60 kills, "), "{}", text(&done.stdout));
+}
