Report a failed exit after SIGTERM, and let one piece serve where the lab had two

Need: read once more, the lab wrote down that a node had exited with another code than 0 after SIGTERM, and nobody read it: a check that could not fail. The warming of a cold server, a lock, the wait for a signal, the harm of a refusal and the names of faults stood two or three times.

Change: the auditor reports such an exit; the rest stands once (`able` and `refusal_harms` in stonevane-audit, `lock` in stonevane-standin, `interrupted` in stonevane-lab). The daemon is untouched.

--- a/crates/stonevane-audit/src/auditor.rs
+++ b/crates/stonevane-audit/src/auditor.rs
@@ -9,7 +9,7 @@
 
 use crate::history::{Effect, Event, Line, Outcome, Span};
 use crate::report::{Evidence, Finding, Report, Rule};
-use crate::rules::{ClassRule, Kind, Rules, Scope};
+use crate::rules::{ClassRule, Kind, Rules, Scope, able};
 
 /// A request is held for this long after its time, for what may still come of it.
 const LINGER_US: u64 = 5_000_000;
@@ -72,25 +72,18 @@
 }
 
 impl Server {
-    /// Capacity when warm, in work a microsecond; cold share; start; time to warm.
+    /// Capacity when warm, in microseconds of work a second; cold share; start; time to warm.
     fn figures(&self) -> Option<(f64, f64, u64, u64)> {
         let (_, line) = self.start.as_ref()?;
         let cold = line.warm_us > 0 && line.capacity_us_per_s > 0.0;
         // The earliest start that is possible leaves it the most capacity.
-        cold.then_some((line.capacity_us_per_s / 1e6, line.cold_share, line.t.begun, line.warm_us))
+        cold.then_some((line.capacity_us_per_s, line.cold_share, line.t.begun, line.warm_us))
     }
 
     /// Work that it can do from a moment on for a time, while it warms evenly.
     fn able(&self, from: u64, time: u64) -> f64 {
         let Some((capacity, share, start, warm)) = self.figures() else { return f64::INFINITY };
-        // The integral of share + (1 - share) * min(1, (t - start) / warm).
-        let done = |at: u64| {
-            let at = at.saturating_sub(start) as f64;
-            let warm = warm as f64;
-            let rising = at.min(warm);
-            share * at + (1.0 - share) * (rising * rising / (2.0 * warm) + (at - rising))
-        };
-        capacity * (done(from + time) - done(from))
+        able(capacity, share, start, warm, from, time)
     }
 
     fn cold(&self, at: u64) -> bool {
@@ -279,10 +272,8 @@
         match outcome {
             Outcome::Served => self.served(&name, &kind, seen),
             Outcome::Refused => {
-                let harmful =
-                    kind.kind == Kind::Unsafe || kind.kind == Kind::Keyed && kind.scope != Scope::All;
                 let ran = self.requests[&name].attempts.iter().find(|(_, a)| a.effect == Some(Effect::Ran));
-                if let Some(ran) = ran.filter(|_| harmful).cloned() {
+                if let Some(ran) = ran.filter(|_| kind.refusal_harms()).cloned() {
                     let what = "refused, as if a retry did no harm, though it has run".to_owned();
                     self.accuse(Rule::Once, "refused-after-run", &name, what, &[ran, seen]);
                 }
@@ -365,8 +356,7 @@
         let slack = self.rules.answer_slack_us;
         let refused = self.requests[name].answer.clone();
         let refused = refused.filter(|(_, a)| a.outcome == Some(Outcome::Refused));
-        let harmful = kind.kind == Kind::Unsafe || kind.kind == Kind::Keyed && kind.scope != Scope::All;
-        if let Some(answer) = refused.filter(|_| harmful && effect == Effect::Ran) {
+        if let Some(answer) = refused.filter(|_| kind.refusal_harms() && effect == Effect::Ran) {
             let what = "refused, as if a retry did no harm, though it ran".to_owned();
             self.accuse(Rule::Once, "refused-after-run", name, what, &[answer, seen.clone()]);
         }
@@ -608,6 +598,10 @@
                     self.accuse(Rule::Answered, "crashed", "", what, &[seen]);
                 }
             }
+            "crashed" => {
+                let what = format!("node {} did not exit with 0 after SIGTERM", seen.1.node);
+                self.accuse(Rule::Answered, "crashed", "", what, &[seen]);
+            }
             _ => {}
         }
     }
--- a/crates/stonevane-audit/src/history.rs
+++ b/crates/stonevane-audit/src/history.rs
@@ -69,7 +69,8 @@
     Change,
     /// Discovery has told a node of a server.
     Told,
-    /// Something became of a node's process: `state` is `ready`, `term`, `killed` or `exited`.
+    /// Something became of a node's process: `state` is `ready`, `term`, `killed`, `exited`, or `crashed` where
+    /// it exited with another code than 0 after SIGTERM.
     Node,
     /// A fault was put in or taken away.
     Fault,
--- a/crates/stonevane-audit/src/lib.rs
+++ b/crates/stonevane-audit/src/lib.rs
@@ -26,4 +26,4 @@
 pub use auditor::Auditor;
 pub use history::{Effect, Event, HistoryError, Line, Outcome, Span, audit};
 pub use report::{Evidence, Finding, Report, Rule};
-pub use rules::{ClassRule, Kind, OriginRule, Rules, Scope};
+pub use rules::{ClassRule, Kind, OriginRule, Rules, Scope, able};
--- a/crates/stonevane-audit/src/rules.rs
+++ b/crates/stonevane-audit/src/rules.rs
@@ -112,3 +112,25 @@
         known.cloned().unwrap_or_else(|| ClassRule { name: name.into(), ..ClassRule::default() })
     }
 }
+
+impl ClassRule {
+    /// Whether a refusal of what has run would do harm: a repeat is not dropped everywhere.
+    pub fn refusal_harms(&self) -> bool {
+        self.kind == Kind::Unsafe || self.kind == Kind::Keyed && self.scope != Scope::All
+    }
+}
+
+/// Work that a server can do from a moment on for a time, while it warms evenly from its cold share on: the
+/// integral of share + (1 - share) * min(1, (t - started) / warm), in microseconds of work. `capacity` is that of
+/// a warm server, in microseconds of work a second; one that takes no time to warm is warm.
+pub fn able(capacity: f64, cold_share: f64, started: u64, warm_us: u64, from: u64, time: u64) -> f64 {
+    if warm_us == 0 {
+        return capacity / 1e6 * time as f64;
+    }
+    let done = |at: u64| {
+        let (at, warm) = (at.saturating_sub(started) as f64, warm_us as f64);
+        let rising = at.min(warm);
+        cold_share * at + (1.0 - cold_share) * (rising * rising / (2.0 * warm) + at - rising)
+    };
+    capacity / 1e6 * (done(from + time) - done(from))
+}
--- a/crates/stonevane-audit/tests/table.rs
+++ b/crates/stonevane-audit/tests/table.rs
@@ -115,6 +115,8 @@
     History::new().ask(0, "a", "read").is(&["unanswered"]);
     History::new().ask(0, "a", "read").at(9, r#""event":"closed","request":"a","node":"n0""#).is(&["lost"]);
     History::new().at(5, r#""event":"node","node":"n0","state":"exited""#).is(&["crashed"]);
+    let term = History::new().at(5, r#""event":"node","node":"n0","state":"term""#);
+    term.at(6, r#""event":"node","node":"n0","state":"crashed""#).is(&["crashed"]);
 }
 
 #[test]
@@ -147,12 +149,19 @@
     honest.attempt(70, "a", "s1", "ran").reply(80, "a", "s1", "v", 0).served(90, "a", "v").is(&[]);
     let read = History::new().ask(0, "a", "read").attempt(20, "a", "s1", "ran").at(50, closed).at(60, again);
     read.reply(80, "a", "s1", "v", 0).served(90, "a", "v").is(&["lost"]);
+    // It may have been the second sending that brought the attempt about.
+    let either = History::new().ask(0, "a", "read").at(50, closed).between((58, 70), again);
+    let either = either.attempt(62, "a", "s1", "ran").reply(80, "a", "s1", "v", 0);
+    either.served(90, "a", "v").is(&[]);
 }
 
 #[test]
 fn rule_1_a_value_of_another_request_or_none_or_an_old_one_is_accused() {
     History::new().read(0, "a").ask(40, "b", "read").served(50, "b", "v-a").is(&["value"]);
     History::new().ask(40, "b", "read").served(50, "b", "made-up").is(&["value"]);
+    // A server made one for it, and it was given another's.
+    let other = History::new().read(0, "a").ask(40, "b", "read").attempt(41, "b", "s1", "ran");
+    other.reply(42, "b", "s1", "v-b", 0).served(50, "b", "v-a").is(&["value"]);
     let edit = |t: u64| {
         let day = History::new().ask(t, "e", "edit").attempt(t + 1, "e", "o", "ran");
         day.reply(t + 2, "e", "o", "receipt", 7).served(t + 3, "e", "receipt")
@@ -237,6 +246,10 @@
     sent(100 + 550 * MS).is(&[]);
     sent(101 + 550 * MS).is(&["drained"]);
     History::new().told(100, "leaving", "s1").told(600 * MS, "active", "s1").read(700 * MS, "a").is(&[]);
+    // It may have been told that the server runs again just before it sent, though that was noted later.
+    let active = r#""event":"told","node":"n0","server":"s1","status":"active""#;
+    let crossed = History::new().told(100, "leaving", "s1").between((600 * MS, 720 * MS), active);
+    crossed.read(700 * MS, "a").is(&[]);
     // Another server's drain, or another node's.
     History::new().told(100, "leaving", "s2").read(700 * MS, "a").is(&[]);
     // The first byte counts, not the last.
--- a/crates/stonevane-lab/src/crooked.rs
+++ b/crates/stonevane-lab/src/crooked.rs
@@ -2,12 +2,13 @@
 //! seen to catch, over real sockets, what it must, and nothing else.
 
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
 use stonevane_codec::{http, resp};
 use stonevane_standin::cache::{Asked, asked};
+use stonevane_standin::lock;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
@@ -254,7 +255,3 @@
         }
     }
 }
-
-fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
--- a/crates/stonevane-lab/src/fleet.rs
+++ b/crates/stonevane-lab/src/fleet.rs
@@ -5,7 +5,7 @@
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicU32, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use stonevane_audit::{ClassRule, Event, Kind as ClassKind, Line, OriginRule, Rules, Scope};
@@ -14,7 +14,7 @@
 use stonevane_standin::discovery::{Discovery, Entry, Trouble};
 use stonevane_standin::origin::Origin;
 use stonevane_standin::peers::{PeerNet, Weather};
-use stonevane_standin::{Fault, Mono, Recorder};
+use stonevane_standin::{Fault, Mono, Recorder, lock};
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
 
 use crate::crooked::Little;
@@ -62,10 +62,6 @@
     folder: Folder,
 }
 
-fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 /// The rules that a scenario's fleet is held to.
 pub fn rules(scenario: &Scenario) -> Rules {
     let class =
--- a/crates/stonevane-lab/src/lib.rs
+++ b/crates/stonevane-lab/src/lib.rs
@@ -14,7 +14,7 @@
 pub use crooked::Crime;
 pub use fleet::{Fleet, lab_ip};
 pub use nodes::Kind;
-pub use run::{Options, Outcome, RunError, run};
+pub use run::{Options, Outcome, RunError, interrupted, run};
 pub use scenario::Scenario;
 pub use summary::{Summary, summarise};
 
--- a/crates/stonevane-lab/src/run.rs
+++ b/crates/stonevane-lab/src/run.rs
@@ -156,7 +156,8 @@
     format!("{hash:016x}")
 }
 
-async fn interrupted() {
+/// Waits for an interrupt or SIGTERM.
+pub async fn interrupted() {
     use tokio::signal::unix::{SignalKind, signal};
     let (Ok(mut int), Ok(mut term)) = (signal(SignalKind::interrupt()), signal(SignalKind::terminate()))
     else {
--- a/crates/stonevane-lab/src/scenario.rs
+++ b/crates/stonevane-lab/src/scenario.rs
@@ -192,16 +192,8 @@
 const MAX_NODES: u64 = 64;
 const MAX_CACHES: u64 = 200;
 
-const DOS: [&str; 21] = [
-    "kill",
-    "vanish",
-    "refuse",
-    "reset",
-    "stall",
-    "slow",
-    "truncate",
-    "noise",
-    "tail",
+/// What a step can do beside the faults of a server.
+const DOS: [&str; 13] = [
     "drain",
     "stop",
     "node-kill",
@@ -214,6 +206,7 @@
     "clock",
     "peers",
     "partition",
+    "flood",
 ];
 
 impl Scenario {
@@ -425,8 +418,8 @@
                     node: node.clone(),
                 },
                 None => {
-                    let mut known = DOS.to_vec();
-                    known.push("flood");
+                    let faults = Fault::NAMES.iter().map(|(name, _)| *name);
+                    let known: Vec<_> = faults.chain(DOS).collect();
                     table.fault(
                         table.place_of("do"),
                         format!("`do` has no `{other}`{}", suggest(other, &known)),
--- a/crates/stonevane-standin/src/lib.rs
+++ b/crates/stonevane-standin/src/lib.rs
@@ -15,4 +15,4 @@
 pub mod work;
 
 pub use record::{Mono, Recorder};
-pub use server::{Fault, Ports};
+pub use server::{Fault, Ports, lock};
--- a/crates/stonevane-standin/src/work.rs
+++ b/crates/stonevane-standin/src/work.rs
@@ -3,6 +3,8 @@
 
 use std::collections::VecDeque;
 
+pub use stonevane_audit::able;
+
 /// Cores, and until when each is busy.
 pub struct Cores {
     free_at: Vec<u64>,
@@ -46,8 +48,7 @@
     pub fn add(&mut self, now: u64, work_us: u64, window_us: u64) -> u64 {
         self.came.push_back((now, work_us));
         self.sum += work_us;
-        while let Some((at, work)) = self.came.front().copied().filter(|(at, _)| at + window_us < now) {
-            let _ = at;
+        while let Some((_, work)) = self.came.front().copied().filter(|(at, _)| at + window_us < now) {
             self.sum -= work;
             self.came.pop_front();
         }
@@ -62,20 +63,6 @@
     }
 }
 
-/// Work that a server can do from a moment on for a time, while it warms evenly, of a capacity in
-/// microseconds of work a second.
-pub fn able(capacity: f64, cold_share: f64, started: u64, warm_us: u64, from: u64, time: u64) -> f64 {
-    if warm_us == 0 {
-        return capacity / 1e6 * time as f64;
-    }
-    let done = |at: u64| {
-        let (at, warm) = (at.saturating_sub(started) as f64, warm_us as f64);
-        let rising = at.min(warm);
-        cold_share * at + (1.0 - cold_share) * (rising * rising / (2.0 * warm) + at - rising)
-    };
-    capacity / 1e6 * (done(from + time) - done(from))
-}
-
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/crates/stonevane-store/src/sqlite.rs
+++ b/crates/stonevane-store/src/sqlite.rs
@@ -471,8 +471,7 @@
             type Row = (String, i64, u64, u64);
             let row = known.query_row([token], |r| Ok((r.get(0)?, r.get(1)?, r.get(2)?, r.get(3)?)));
             let row: Option<Row> = row.optional()?;
-            if let Some((key, before, version, expires)) = row.filter(|row| row.3 > now) {
-                let _ = expires;
+            if let Some((key, before, version, _)) = row.filter(|row| row.3 > now) {
                 let same = key == edit.key && before == digest;
                 return Ok(same.then_some(Receipt { version, repeat: true }).ok_or(StoreError::Conflict));
             }
--- a/crates/stonevane/src/demo.rs
+++ b/crates/stonevane/src/demo.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use clap::Args;
-use stonevane_lab::{Fleet, Kind, Scenario};
+use stonevane_lab::{Fleet, Kind, Scenario, interrupted};
 use stonevane_standin::client::key;
 use stonevane_standin::{Mono, Recorder};
 
@@ -74,21 +74,10 @@
             say!("  {at} OBJ.SET {:016x} id-3 c=zone-edit,t=coastline,d=300,k=aa area-2", key(0));
             say!("\nCtrl-C ends it.");
             let bound = self.for_s.map_or(Duration::MAX, Duration::from_secs);
-            let ended = tokio::time::timeout(bound.min(Duration::from_secs(86_400 * 365)), ended()).await;
-            let _ = ended;
+            let _ = tokio::time::timeout(bound.min(Duration::from_secs(86_400 * 365)), interrupted()).await;
             warn!("ending ...");
             fleet.end().await;
             Ok(())
         })
     }
 }
-
-/// Waits for an interrupt or SIGTERM.
-pub async fn ended() {
-    use tokio::signal::unix::{SignalKind, signal};
-    let (Ok(mut int), Ok(mut term)) = (signal(SignalKind::interrupt()), signal(SignalKind::terminate()))
-    else {
-        return std::future::pending().await;
-    };
-    tokio::select! { _ = int.recv() => {}, _ = term.recv() => {} }
-}
--- a/crates/stonevane/src/standin.rs
+++ b/crates/stonevane/src/standin.rs
@@ -11,7 +11,7 @@
 
 use clap::{Args, Subcommand};
 use stonevane_audit::{Event, Line, Rules};
-use stonevane_lab::Scenario;
+use stonevane_lab::{Scenario, interrupted};
 use stonevane_standin::cache::{Cache, CacheSpec};
 use stonevane_standin::client::{Clients, plan};
 use stonevane_standin::discovery::{Discovery, Entry};
@@ -20,7 +20,6 @@
 use stonevane_standin::{Mono, Recorder, relay};
 use tokio::net::TcpListener;
 
-use crate::demo::ended;
 use crate::{NOT_RUN, UNUSABLE, faults};
 
 /// What every stand-in can be told.
@@ -168,7 +167,7 @@
                     cache.restart();
                 }
                 at(cache.address("any"));
-                ended().await;
+                interrupted().await;
                 say!("{:?}", cache.counts());
                 Ok(writer)
             }
@@ -179,7 +178,7 @@
                 let origin = Origin::start(spec, &any(common.listen), &mono, recorder).await?;
                 origin.attach_remote(&cache);
                 at(origin.address("any"));
-                ended().await;
+                interrupted().await;
                 say!("{:?}", origin.counts());
                 Ok(writer)
             }
@@ -201,13 +200,13 @@
                 let any = any(common.listen);
                 let discovery = Discovery::start(&any, recorder, entries, Duration::ZERO).await?;
                 at(discovery.address("any"));
-                tokio::select! { () = ended() => {}, () = changes(&discovery) => ended().await }
+                tokio::select! { () = interrupted() => {}, () = changes(&discovery) => interrupted().await }
                 Ok(writer)
             }
             StandIn::Relay { listen, server } => {
                 let listener = TcpListener::bind(listen).await?;
                 at(listener.local_addr().ok());
-                tokio::select! { () = ended() => {}, () = relay::relay(listener, server) => {} }
+                tokio::select! { () = interrupted() => {}, () = relay::relay(listener, server) => {} }
                 Ok(None)
             }
             StandIn::Client { .. } => Ok(None),
