Tie attempts to what was asked, and let steps on nodes overlap

Cause: with two nodes killed together the lab took a node out of its vector while it awaited its start, so that steps behind it hit the wrong node; a request written to a process that was already dead counted as lost; attempts that no client had asked for passed the audit.

Change: nodes have states of their own in a pure table (kills, terms and starts overlap in a stated order, property test); faults of servers are put in and taken away step by step, so that a partition's end does not wake a dead cache. The auditor ties each attempt to its ask (node, key, class, token, digest), knows max_attempts, second copies and the time to end after SIGTERM, and judges stand-ins apart. A cache can be replaced by a successor of its own name.

--- a/crates/stonevane-audit/src/history.rs
+++ b/crates/stonevane-audit/src/history.rs
@@ -61,6 +61,9 @@
     Attempt,
     /// A server writes the answer to an attempt.
     Reply,
+    /// An attempt is out no longer though no whole answer was written: its connection has ended, or a fault spoilt
+    /// the answer.
+    Over,
     /// A server has started, cold.
     Start,
     /// A server was killed, or fell over.
@@ -69,8 +72,9 @@
     Change,
     /// Discovery has told a node of a server.
     Told,
-    /// Something became of a node's process: `state` is `ready`, `term`, `killed`, `exited`, or `crashed` where
-    /// it exited with another code than 0 after SIGTERM.
+    /// Something became of a node's process: `state` is `starting`, `ready`, `term`, `killed`, `exited`, or
+    /// `crashed` where it exited with another code than 0 after SIGTERM. From `killed` or `exited` on until it is
+    /// `ready` again there is no process that could take a request.
     Node,
     /// A fault was put in or taken away.
     Fault,
@@ -137,6 +141,9 @@
     /// Its idempotency key.
     #[serde(skip_serializing_if = "String::is_empty")]
     pub token: String,
+    /// A digest of the value that an edit carries.
+    #[serde(skip_serializing_if = "String::is_empty")]
+    pub digest: String,
     /// Until when its client waits.
     #[serde(skip_serializing_if = "zero")]
     pub until: u64,
--- a/crates/stonevane-audit/src/lib.rs
+++ b/crates/stonevane-audit/src/lib.rs
@@ -25,5 +25,5 @@
 
 pub use auditor::Auditor;
 pub use history::{Effect, Event, HistoryError, Line, Outcome, Span, audit};
-pub use report::{Evidence, Finding, Report, Rule};
+pub use report::{Evidence, Fault, Finding, Report, Rule};
 pub use rules::{ClassRule, Kind, OriginRule, Rules, Scope, able};
--- a/crates/stonevane-audit/src/rules.rs
+++ b/crates/stonevane-audit/src/rules.rs
@@ -82,6 +82,13 @@
     pub informed_part: f64,
     /// A kill later than this after SIGTERM excuses nothing that it finds unanswered.
     pub term_us: u64,
+    /// A node has ended this long after SIGTERM; 0: whenever it likes.
+    pub exit_us: u64,
+    /// Attempts that a node may make for a request, at most; 0: as many as it likes. What came to a dead server
+    /// does not count.
+    pub max_attempts: u32,
+    /// Whether a second copy may be sent while the first is out.
+    pub second_copies: bool,
     /// The classes; a class not named here counts as safe.
     pub classes: Vec<ClassRule>,
     /// The origin's budget.
@@ -99,6 +106,9 @@
             cold_slack: 0.05,
             informed_part: 2.0 / 3.0,
             term_us: 700_000,
+            exit_us: 0,
+            max_attempts: 0,
+            second_copies: true,
             classes: Vec::new(),
             origin: OriginRule::default(),
         }
--- a/crates/stonevane-lab/src/lib.rs
+++ b/crates/stonevane-lab/src/lib.rs
@@ -5,15 +5,17 @@
 
 pub mod chart;
 mod crooked;
+mod faults;
 mod fleet;
 mod nodes;
 mod run;
 pub mod scenario;
 mod summary;
+mod table;
 
 pub use crooked::Crime;
 pub use fleet::{Fleet, lab_ip};
-pub use nodes::Kind;
+pub use nodes::{Kind, Program};
 pub use run::{Options, Outcome, RunError, interrupted, run};
 pub use scenario::Scenario;
 pub use summary::{Summary, summarise};
--- a/crates/stonevane-standin/src/client.rs
+++ b/crates/stonevane-standin/src/client.rs
@@ -13,7 +13,8 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
-use crate::record::{Mono, Recorder};
+use crate::cache::padded;
+use crate::record::{Mono, Recorder, digest};
 use crate::server::lock;
 
 /// How long past its time an answer is still waited for, to tell a late one from none.
@@ -409,11 +410,13 @@
             if retry {
                 facts.push_str(",r=1");
             }
-            let value = vec![b'v'; class.value_len];
+            // Each edit writes something of its own, so that two that are mixed up are seen.
+            let value = padded(id, class.value_len).into_bytes();
             let bytes = match class.write {
                 true => resp::command(&[b"OBJ.SET", key.as_bytes(), id.as_bytes(), facts.as_bytes(), &value]),
                 false => resp::command(&[b"OBJ.GET", key.as_bytes(), id.as_bytes(), facts.as_bytes()]),
             };
+            let token = (token.as_str(), if class.write { digest(&value) } else { String::new() });
             match self.exchange(conn, at, &bytes, id, left, &mut until, again, retry, planned, &token).await {
                 // The node closed it between requests, and that crossed this one: once more on a new one.
                 Tried::Lost if kept && !again => again = true,
@@ -434,7 +437,7 @@
         again: bool,
         retry: bool,
         planned: &Planned,
-        token: &str,
+        (token, digest): &(&str, String),
     ) -> Tried {
         let class = &self.load.classes[planned.class];
         let target = &self.targets[node];
@@ -461,7 +464,8 @@
             class: class.name.clone(),
             tenant: self.load.tenants.get(planned.tenant).map(|t| t.0.clone()).unwrap_or_default(),
             key: format!("{:016x}", planned.key),
-            token: token.into(),
+            token: (*token).into(),
+            digest: digest.clone(),
             until: *until,
             again,
             kept,
--- a/crates/stonevane-standin/src/discovery.rs
+++ b/crates/stonevane-standin/src/discovery.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeMap;
 use std::fmt::Write as _;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
@@ -59,6 +60,8 @@
 struct State {
     entries: BTreeMap<String, Entry>,
     index: u64,
+    /// The newest change of each server that it has learnt of: an older one that comes behind it is no news.
+    learnt: BTreeMap<String, u64>,
 }
 
 /// Discovery.
@@ -68,6 +71,8 @@
     trouble: watch::Sender<Trouble>,
     doors: Mutex<BTreeMap<String, SocketAddr>>,
     turn: tokio::sync::Mutex<()>,
+    /// Changes so far.
+    changes: AtomicU64,
     /// How long one call takes.
     call: Duration,
     /// Steps of the clock of its reports, in milliseconds.
@@ -106,11 +111,12 @@
     ) -> std::io::Result<Arc<Discovery>> {
         let entries = entries.into_iter().map(|e| (e.name.clone(), e)).collect();
         let discovery = Arc::new(Discovery {
-            state: Mutex::new(State { entries, index: 1 }),
+            state: Mutex::new(State { entries, index: 1, learnt: BTreeMap::new() }),
             version: watch::channel(1).0,
             trouble: watch::channel(Trouble::None).0,
             doors: Mutex::default(),
             turn: tokio::sync::Mutex::default(),
+            changes: AtomicU64::new(0),
             call,
             skew_ms: Mutex::default(),
             recorder,
@@ -133,7 +139,8 @@
     /// What a node would be told now, as its configuration holds a list that it knows.
     pub fn known(&self, node: &str) -> String {
         let state = lock(&self.state);
-        self.list(state.index, true, &state.entries.values().collect::<Vec<_>>(), node)
+        let there: Vec<_> = state.entries.values().filter(|e| e.status != "left").collect();
+        self.list(state.index, true, &there, node)
     }
 
     /// Steps the clock of its reports.
@@ -149,11 +156,17 @@
     /// Learns of a change after a delay, or when it is up again.
     pub fn change(self: &Arc<Self>, name: &str, status: &'static str, since: Option<u64>, late: Duration) {
         let (own, name) = (self.clone(), name.to_owned());
+        let order = 1 + self.changes.fetch_add(1, Ordering::Relaxed);
         tokio::spawn(async move {
             tokio::time::sleep(late).await;
             let mut trouble = own.trouble.subscribe();
             let _ = trouble.wait_for(|t| *t != Trouble::Down).await;
             let mut state = lock(&own.state);
+            let learnt = state.learnt.entry(name.clone()).or_default();
+            if *learnt > order {
+                return;
+            }
+            *learnt = order;
             state.index += 1;
             let index = state.index;
             if let Some(entry) = state.entries.get_mut(&name) {
--- a/crates/stonevane-standin/src/server.rs
+++ b/crates/stonevane-standin/src/server.rs
@@ -1,7 +1,7 @@
 //! What all servers have in common: a listener for each node, faults, and connections that end in the ways
 //! that real ones do.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::io;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
@@ -96,6 +96,9 @@
         None
     }
 
+    /// The connection ended before this answer was written: nobody waits for it any more.
+    fn over(&mut self, _due: &Due) {}
+
     /// Whether one more connection may be open, and how long it may stand idle.
     fn idle(&self) -> Duration;
 }
@@ -137,14 +140,19 @@
         self.doors.get(node).map(|door| door.address)
     }
 
-    /// Changes what is wrong, for one node or for all.
+    /// Changes what is wrong, for one node or for all; where it is wrong already nothing happens.
     pub fn set(&self, node: Option<&str>, fault: Fault) {
         let doors = self.doors.iter().filter(|(name, _)| node.is_none_or(|node| node == *name));
         for (_, door) in doors {
-            door.fault.send_replace(fault);
+            door.fault.send_if_modified(|now| std::mem::replace(now, fault) != fault);
         }
     }
 
+    /// What is wrong at a node's door.
+    pub fn wrong(&self, node: &str) -> Option<Fault> {
+        self.doors.get(node).map(|door| *door.fault.borrow())
+    }
+
     /// Whether the process runs, for a node.
     pub fn runs(&self, node: &str) -> bool {
         self.doors.get(node).is_some_and(|door| *door.fault.borrow() != Fault::Dead)
@@ -215,10 +223,15 @@
     let _ = stream.set_zero_linger();
 }
 
-/// Serves one connection until it ends.
-async fn serve(mut peer: Peer, mut speaker: impl Speaker) {
+/// Serves one connection until it ends, and tells what was still owed on it then.
+async fn serve(peer: Peer, mut speaker: impl Speaker) {
+    let mut owed = VecDeque::new();
+    exchange(peer, &mut speaker, &mut owed).await;
+    owed.iter().for_each(|due| speaker.over(due));
+}
+
+async fn exchange(mut peer: Peer, speaker: &mut impl Speaker, owed: &mut VecDeque<Due>) {
     let mut buffer = BytesMut::new();
-    let mut owed: std::collections::VecDeque<Due> = std::collections::VecDeque::new();
     // When the first byte of what stands in the buffer came.
     let mut first: Option<Span> = None;
     // Since when nothing was read, where something else held this task up.
@@ -270,10 +283,10 @@
                 loop {
                     match speaker.take(&mut buffer, starts, came) {
                         Ok(Some(due)) => {
+                            owed.push_back(due);
                             if fault == Fault::Reset {
                                 return reset(peer.stream);
                             }
-                            owed.push_back(due);
                             starts = came;
                         }
                         Ok(None) => break,
--- a/crates/stonevane-standin/src/work.rs
+++ b/crates/stonevane-standin/src/work.rs
@@ -5,6 +5,20 @@
 
 pub use stonevane_audit::able;
 
+/// The work of one request: log-normal with this mean and coefficient of variation, drawn from the request's name
+/// alone, so that the same request is the same work wherever it goes. Without variation, the mean.
+pub fn drawn(mean_us: u64, cv: f64, request: &str) -> u64 {
+    if cv <= 0.0 {
+        return mean_us;
+    }
+    let mut rng = oorandom::Rand64::new(u128::from(xxhash_rust::xxh3::xxh3_64(request.as_bytes())));
+    // Box and Muller's normal deviate.
+    let (one, other) = (1.0 - rng.rand_float(), rng.rand_float());
+    let normal = (-2.0 * one.ln()).sqrt() * (std::f64::consts::TAU * other).cos();
+    let variance = (1.0 + cv * cv).ln();
+    (mean_us as f64 * (normal * variance.sqrt() - variance / 2.0).exp()) as u64
+}
+
 /// Cores, and until when each is busy.
 pub struct Cores {
     free_at: Vec<u64>,
@@ -78,6 +92,16 @@
         assert_eq!(cores.take(50, 1, 60), Some(101));
     }
 
+    #[test]
+    fn drawn_work_has_its_mean_and_its_variation_and_is_the_same_for_the_same_request() {
+        let drawn: Vec<f64> = (0..20_000).map(|i| drawn(100_000, 0.5, &format!("r{i}")) as f64).collect();
+        let mean = drawn.iter().sum::<f64>() / drawn.len() as f64;
+        let cv = (drawn.iter().map(|d| (d - mean).powi(2)).sum::<f64>() / drawn.len() as f64).sqrt() / mean;
+        assert!((97_000.0..103_000.0).contains(&mean) && (0.45..0.55).contains(&cv), "{mean} {cv}");
+        assert_eq!(super::drawn(100, 0.5, "a"), super::drawn(100, 0.5, "a"));
+        assert_eq!(super::drawn(100, 0.0, "a"), 100);
+    }
+
     #[test]
     fn a_window_holds_what_came_within_it_and_remembers_its_peak() {
         let mut window = Window::default();
--- a/crates/stonevane/src/bench.rs
+++ b/crates/stonevane/src/bench.rs
@@ -160,7 +160,7 @@
     let (cpu, own_cpu) = runtime.block_on(async {
         let mono = Mono::default();
         let _beat = tokio::spawn(mono.clone().beat());
-        let kind = Kind::Process(program.into());
+        let kind = Kind::Process(std::path::PathBuf::from(program).into());
         let fleet = Fleet::start(scenario, &kind, 1, &mono, &recorder).await.map_err(text)?;
         let (targets, pid, _relay) = match relayed {
             false => (fleet.targets.clone(), fleet.pids()[0], None),
--- a/crates/stonevane/src/demo.rs
+++ b/crates/stonevane/src/demo.rs
@@ -52,7 +52,8 @@
                 "starting {} nodes, {} caches, an origin and discovery ...",
                 scenario.nodes, scenario.caches
             );
-            let fleet = Fleet::start(&scenario, &Kind::Process(program), 1, &mono, &Recorder::none()).await;
+            let fleet =
+                Fleet::start(&scenario, &Kind::Process(program.into()), 1, &mono, &Recorder::none()).await;
             let fleet = fleet.map_err(|e| e.to_string())?;
             say!("A fleet serves on this machine:");
             for (name, address) in &fleet.targets {
--- a/crates/stonevane/src/lab.rs
+++ b/crates/stonevane/src/lab.rs
@@ -131,7 +131,7 @@
         let kind = match self.crooked {
             Some(crime) => Kind::Little(crime),
             None => match node::program(self.node_program.as_deref()) {
-                Ok(program) => Kind::Process(program),
+                Ok(program) => Kind::Process(program.into()),
                 Err(e) => {
                     warn!("stonevane: {e}");
                     return ExitCode::from(NOT_RUN);
