--- a/crates/stonevane-config/src/lib.rs
+++ b/crates/stonevane-config/src/lib.rs
@@ -173,17 +173,30 @@
     /// A number within bounds.
     pub fn number(&self, key: &str, default: f64, bounds: RangeInclusive<f64>) -> f64 {
         let Some(value) = self.get(key) else { return default };
+        self.within(key, value, &bounds).unwrap_or(default)
+    }
+
+    /// A list of numbers, each within bounds.
+    pub fn numbers(&self, key: &str, bounds: RangeInclusive<f64>) -> Vec<f64> {
+        let Some(value) = self.get(key) else { return Vec::new() };
+        let DeValue::Array(items) = value.get_ref() else {
+            return self.wrong(key, value, "a list of numbers").unwrap_or_default();
+        };
+        items.iter().filter_map(|item| self.within(key, item, &bounds)).collect()
+    }
+
+    fn within(&self, key: &str, value: &Spanned<DeValue<'t>>, bounds: &RangeInclusive<f64>) -> Option<f64> {
         let number: Option<f64> = match value.get_ref() {
             DeValue::Float(found) => found.as_str().parse().ok(),
             DeValue::Integer(found) => found.as_str().parse().ok(),
-            _ => return self.wrong(key, value, "a number").unwrap_or(default),
+            _ => return self.wrong(key, value, "a number"),
         };
         let number = number.filter(|number| bounds.contains(number));
         if number.is_none() {
             let what = format!("`{key}` is to be from {} to {}", bounds.start(), bounds.end());
             self.fault(value.span(), what);
         }
-        number.unwrap_or(default)
+        number
     }
 
     /// True or false.
--- a/crates/stonevane-standin/src/client.rs
+++ b/crates/stonevane-standin/src/client.rs
@@ -52,6 +52,8 @@
     pub per_s: f64,
     /// For so long, in milliseconds.
     pub for_ms: u64,
+    /// Crowds: from when, for how long (milliseconds), and the multiple of the rate that comes meanwhile.
+    pub crowds: Vec<(u64, u64, f64)>,
     /// Keys, and how uneven their popularity is: the n-th has weight 1 / (n + offset) ^ zipf.
     pub keys: usize,
     /// How uneven their popularity is.
@@ -77,6 +79,7 @@
         Load {
             per_s: 100.0,
             for_ms: 3_000,
+            crowds: Vec::new(),
             keys: 500,
             zipf: 0.9,
             offset: 10.0,
@@ -140,11 +143,20 @@
     if load.per_s <= 0.0 {
         return planned;
     }
+    // Drawn at the highest rate, and thinned to that of each moment.
+    let times = |at: f64| {
+        let within = |c: &&(u64, u64, f64)| (c.0 as f64..(c.0 + c.1) as f64).contains(&(at / 1e3));
+        load.crowds.iter().find(within).map_or(1.0, |c| c.2)
+    };
+    let most = load.crowds.iter().map(|c| c.2).fold(1.0, f64::max);
     loop {
-        at += -(1.0 - rng.rand_float()).ln() / load.per_s * 1e6;
+        at += -(1.0 - rng.rand_float()).ln() / (load.per_s * most) * 1e6;
         if at >= end {
             break;
         }
+        if most > 1.0 && rng.rand_float() * most >= times(at) {
+            continue;
+        }
         let drawn = rng.rand_float() * sum;
         let rank = sums.partition_point(|s| *s < drawn).min(sums.len() - 1);
         planned.push(Planned {
@@ -588,5 +600,10 @@
         assert!(first > 5.0 * last, "{first} against {last}");
         assert!(planned.windows(2).all(|p| p[0].at_us <= p[1].at_us));
         assert!(plan(&Load { per_s: 0.0, ..load() }, 4, 7).is_empty());
+        // A crowd of twice the rate for a third of the time.
+        let crowded = plan(&Load { crowds: vec![(1_000, 1_000, 2.0)], ..load() }, 4, 7);
+        let within = crowded.iter().filter(|p| (1_000_000..2_000_000).contains(&p.at_us)).count();
+        assert!((3_600..4_400).contains(&within), "{within} of about 4000");
+        assert!((7_400..8_600).contains(&crowded.len()), "{} of about 8000", crowded.len());
     }
 }
--- a/crates/stonevane/src/lab.rs
+++ b/crates/stonevane/src/lab.rs
@@ -7,7 +7,7 @@
 
 use clap::{Args, Subcommand};
 use stonevane_audit::{HistoryError, Report, audit};
-use stonevane_lab::{Crime, Kind, Options, Outcome, RunError, SCENARIOS, Scenario, chart, run};
+use stonevane_lab::{Crime, Kind, Options, Outcome, Program, RunError, SCENARIOS, Scenario, chart, run};
 
 use crate::{BROKEN, NOT_RUN, UNUSABLE, faults, node, read};
 
@@ -46,6 +46,15 @@
     /// Another number of nodes.
     #[arg(long, value_parser = clap::value_parser!(u64).range(1..=64))]
     nodes: Option<u64>,
+    /// A multiple of the scenario's rate.
+    #[arg(long, value_name = "TIMES")]
+    load: Option<f64>,
+    /// Plays its short form: the same in a part of the time, held to the rules and to looser figures.
+    #[arg(long)]
+    short: bool,
+    /// An operator file for each node.
+    #[arg(long, value_name = "FILE")]
+    operator: Option<PathBuf>,
     /// Writes the figures and the verdict as JSON; `-` for standard output.
     #[arg(long, value_name = "FILE")]
     json: Option<PathBuf>,
@@ -131,7 +140,7 @@
         let kind = match self.crooked {
             Some(crime) => Kind::Little(crime),
             None => match node::program(self.node_program.as_deref()) {
-                Ok(program) => Kind::Process(program.into()),
+                Ok(path) => Kind::Process(Program { path, operator: self.operator.clone() }),
                 Err(e) => {
                     warn!("stonevane: {e}");
                     return ExitCode::from(NOT_RUN);
@@ -141,6 +150,8 @@
         let options = Options {
             seed: self.seed,
             nodes: self.nodes.map(|nodes| nodes as usize),
+            load: self.load,
+            short: self.short,
             kind,
             history: self.history.clone(),
             progress: true,
