Add experiments, and end a node only when its last client's answer is written

Found by busy-all: after SIGTERM the node allowed for one client too many and could end with that one's answer unwritten (test seen to fail); and the auditor took what discovery wrote to a dead life as told to the next (test, model, mutant).

--- a/crates/stonevane-audit/tests/table.rs
+++ b/crates/stonevane-audit/tests/table.rs
@@ -305,6 +305,13 @@
     crossed.read(700 * MS, "a").is(&[]);
     // Another server's drain, or another node's.
     History::new().told(100, "leaving", "s2").read(700 * MS, "a").is(&[]);
+    // Written to a connection of a life that is over: the next one was told nothing.
+    let told = |day: History| day.told(100, "leaving", "s1").node(200, "starting").node(300, "ready");
+    told(History::new().node(50, "killed")).read(700 * MS, "a").is(&[]);
+    told(History::new().node(40, "term").node(50, "exited")).read(700 * MS, "a").is(&[]);
+    told(History::new()).read(700 * MS, "a").is(&["drained"]);
+    let starts = History::new().node(50, "killed").node(60, "starting").told(100, "leaving", "s1");
+    starts.node(200, "ready").read(700 * MS, "a").is(&["drained"]);
     // The first byte counts, not the last.
     let day = History::new().told(100, "leaving", "s1").ask(1, "a", "read");
     let slow = day.sent((500 * MS, 900 * MS), "a", "n0", "s1", r#""effect":"ran""#);
--- a/crates/stonevane-lab/src/fleet.rs
+++ b/crates/stonevane-lab/src/fleet.rs
@@ -355,6 +355,7 @@
 
     /// Writes down that something was done.
     pub fn note(&self, words: &str) {
+        tracing::info!(words, "lab");
         let (t, who, event, state) = (Mono::at(), "lab".into(), Event::Fault, words.to_owned());
         self.recorder.line(Line { t, who, event, state, ..Line::default() });
     }
--- a/crates/stonevane-lab/src/nodes.rs
+++ b/crates/stonevane-lab/src/nodes.rs
@@ -80,6 +80,7 @@
     }
 
     fn line(&self, t: Span, state: &str) {
+        tracing::info!(node = self.name, state, pid = self.pid(), "node");
         self.recorder.line(Line {
             t,
             who: "lab".into(),
--- a/crates/stonevane-lab/src/run.rs
+++ b/crates/stonevane-lab/src/run.rs
@@ -124,6 +124,7 @@
         let name = crate::lab_ip().to_string().replace('.', "-");
         std::env::temp_dir().join(format!("stonevane-history-{}-{name}.jsonl", std::process::id()))
     });
+    tracing::info!(scenario = scenario.name, seed, nodes = scenario.nodes, history = %path.display(), "run");
     let out = File::create(&path)?;
     let (recorder, writer) = Recorder::to(out);
     recorder.line(begin(rules(&scenario)));
@@ -150,6 +151,7 @@
         let _ = std::fs::remove_file(&path);
     }
     let (report, summary) = done?;
+    tracing::info!(scenario = scenario.name, seed, broken = report.broken, events = report.events, "judged");
     let expects: Vec<_> = scenario.expects.iter().map(|expect| expected(expect, &summary, &report)).collect();
     let holds = report.holds() && report.faulty == 0 && expects.iter().all(|expect| expect.holds);
     Ok(Outcome { scenario: scenario.name, seed, load, summary, report, expects, holds })
--- a/crates/stonevane-lab/src/scenario.rs
+++ b/crates/stonevane-lab/src/scenario.rs
@@ -173,7 +173,11 @@
         }
     }
 
-    fn parse(text: &str) -> Result<Expect, String> {
+    /// Reads a line like `served >= 0.9`.
+    ///
+    /// # Errors
+    /// What is wrong with it.
+    pub fn parse(text: &str) -> Result<Expect, String> {
         let signs = [(">=", Compare::AtLeast), ("<=", Compare::AtMost), ("=", Compare::Equal)];
         let found = signs.into_iter().find_map(|(sign, compare)| Some((text.split_once(sign)?, compare)));
         let Some(((figure, bound), compare)) = found else {
--- a/crates/stonevane-lab/src/summary.rs
+++ b/crates/stonevane-lab/src/summary.rs
@@ -82,7 +82,7 @@
 }
 
 /// One step of the chart.
-#[derive(Debug, Clone, Copy, Default, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
 pub struct Step {
     /// Requests asked in it.
     pub asked: u64,
--- a/crates/stonevane-node/src/lib.rs
+++ b/crates/stonevane-node/src/lib.rs
@@ -86,7 +86,9 @@
             }
         }
     });
-    let idle = move || room.available_permits() >= part - 1;
+    // All places are free: no client is left, and nobody takes new ones. Against an answer that the last client's
+    // task has not written yet when the node ends.
+    let idle = move || room.available_permits() >= part;
     Node::new(config, deployment, clock, hub, (part, table), memory).run(inputs, phase_set, idle).await;
     Ok(())
 }
--- a/crates/stonevane-node/tests/node/main.rs
+++ b/crates/stonevane-node/tests/node/main.rs
@@ -587,6 +587,35 @@
     assert_eq!(node.wait().code(), Some(0));
 }
 
+#[test]
+fn on_sigterm_the_last_clients_answer_is_written_whole_before_the_node_ends() {
+    // Found by the lab with overlapping faults: the node counted one client too few and ended with the last one's
+    // answer unwritten.
+    let long = "v".repeat(400_000);
+    let value = long.clone();
+    let cache = cache(move |_| Act::Say(hit(&value)));
+    let origin = no_origin();
+    let (discovery, _say, _calls) = quiet();
+    let mut node = Node::start(discovery, &pair(cache.address, origin.address));
+    let mut client = node.client();
+    // More than the buffers of both machines hold.
+    for id in 1..=24 {
+        client.send(&get("aa", &id.to_string()));
+    }
+    cache.next();
+    node.terminate();
+    while std::net::TcpStream::connect(node.address).is_ok() {
+        std::thread::sleep(std::time::Duration::from_millis(10));
+    }
+    // It takes nobody any more; time for many looks at whether it may end.
+    std::thread::sleep(std::time::Duration::from_millis(200));
+    for id in 1..=24 {
+        let answer = client.answer();
+        assert!(answer.is_some_and(|answer| answer == long || answer.starts_with('-')), "{id}");
+    }
+    assert_eq!(node.wait().code(), Some(0));
+}
+
 #[test]
 fn a_table_of_descriptors_that_is_full_does_not_end_the_node() {
     let cache = cache(|words| Act::Say(hit(&words[1])));
--- a/crates/stonevane-standin/src/cache.rs
+++ b/crates/stonevane-standin/src/cache.rs
@@ -336,6 +336,7 @@
         if cold && window as f64 > spec.fall_multiple * most && !state.fallen {
             state.fallen = true;
             counts.falls += 1;
+            tracing::warn!(server = spec.name, "fell over");
             let (who, event, words) = (spec.name.clone(), Event::Fault, "fell over".to_owned());
             self.recorder.line(Line { t, who, event, state: words, ..Line::default() });
         }
--- a/crates/stonevane-standin/src/client.rs
+++ b/crates/stonevane-standin/src/client.rs
@@ -346,6 +346,7 @@
         let target = &self.targets[node];
         let connect = tokio::time::timeout(CONNECT, TcpStream::connect(target.address)).await;
         let Ok(Ok(stream)) = connect else {
+            tracing::debug!(node = target.name, "no connection came up");
             target.shunned.store(Mono::now() + 500_000, Ordering::Relaxed);
             return None;
         };
--- a/crates/stonevane-standin/src/discovery.rs
+++ b/crates/stonevane-standin/src/discovery.rs
@@ -173,6 +173,7 @@
                 (entry.status, entry.index) = (status.into(), index);
                 entry.since = since.unwrap_or(entry.since);
                 let (since, status) = (entry.since, entry.status.clone());
+                tracing::debug!(server = name, status, index, "change");
                 let (event, who) = (Event::Change, "discovery".to_owned());
                 let line = Line { t: Mono::at(), who, event, server: name, status, since, ..Line::default() };
                 own.recorder.line(line);
--- a/crates/stonevane-standin/src/server.rs
+++ b/crates/stonevane-standin/src/server.rs
@@ -144,7 +144,9 @@
     pub fn set(&self, node: Option<&str>, fault: Fault) {
         let doors = self.doors.iter().filter(|(name, _)| node.is_none_or(|node| node == *name));
         for (_, door) in doors {
-            door.fault.send_if_modified(|now| std::mem::replace(now, fault) != fault);
+            if door.fault.send_if_modified(|now| std::mem::replace(now, fault) != fault) {
+                tracing::debug!(address = %door.address, ?fault, "door");
+            }
         }
     }
 
@@ -212,7 +214,10 @@
                 match speaker(&peer.node) {
                     Some(speaker) => drop(tokio::spawn(serve(peer, speaker))),
                     // Its table of connections is full.
-                    None => reset(peer.stream),
+                    None => {
+                        tracing::debug!(%address, node = peer.node, "its table of connections is full");
+                        reset(peer.stream);
+                    }
                 }
             }
         }
--- a/crates/stonevane/src/lab.rs
+++ b/crates/stonevane/src/lab.rs
@@ -7,6 +7,7 @@
 
 use clap::{Args, Subcommand};
 use stonevane_audit::{HistoryError, Report, audit};
+use stonevane_experiment::{matrix, report, runner};
 use stonevane_lab::{Crime, Kind, Options, Outcome, Program, RunError, SCENARIOS, Scenario, chart, run};
 
 use crate::{BROKEN, NOT_RUN, UNUSABLE, faults, node, read};
@@ -18,6 +19,17 @@
     List,
     /// Plays a scenario, and tells its figures and the verdict on the four rules.
     Run(Run),
+    /// Plays a matrix of runs, of one build or of two side by side.
+    Experiment(Experiment),
+    /// Makes a page and a table of an experiment's results.
+    #[command(after_help = "Example: stonevane lab report baseline")]
+    Report {
+        /// The experiment's folder.
+        folder: PathBuf,
+        /// The report as JSON on standard output.
+        #[arg(long)]
+        json: bool,
+    },
     /// Audits a history that was kept.
     #[command(after_help = "Example: stonevane lab audit run.jsonl")]
     Audit {
@@ -90,11 +102,115 @@
                 ExitCode::SUCCESS
             }
             Lab::Run(run) => run.run(),
+            Lab::Experiment(experiment) => experiment.run(),
+            Lab::Report { folder, json } => reported(&folder, json),
             Lab::Audit { history, json } => audited(&history, json),
         }
     }
 }
 
+/// An experiment.
+#[derive(Args)]
+#[command(after_help = "Examples:
+  stonevane lab experiment baseline.toml
+  stonevane lab experiment mend.toml --node-program old/spardeal-node --against target/release/spardeal-node
+
+The same command goes on where an interrupted one stopped. Exit codes: 0 all runs were played (what they showed is
+the report's), 2 the file, a build or the folder can't be used, 3 interrupted.")]
+pub struct Experiment {
+    /// The experiment's file.
+    file: PathBuf,
+    /// Where results go; else a folder named like the experiment.
+    #[arg(long, value_name = "FOLDER")]
+    out: Option<PathBuf>,
+    /// The daemon's program; else the one beside this program.
+    #[arg(long, value_name = "FILE")]
+    node_program: Option<PathBuf>,
+    /// Another build, to be compared with it.
+    #[arg(long, value_name = "FILE")]
+    against: Option<PathBuf>,
+}
+
+/// Reads an experiment; scenarios that are files stand beside it, or where it is run.
+fn experiment(file: &Path, text: &str) -> Result<matrix::Experiment, ExitCode> {
+    let beside = file.parent().unwrap_or(Path::new(".")).to_owned();
+    let find = |name: &str| {
+        // In an experiment's folder, its own copy.
+        let text = std::fs::read_to_string(runner::scenario_path(&beside, name))
+            .or_else(|_| std::fs::read_to_string(beside.join(name)))
+            .or_else(|_| std::fs::read_to_string(name));
+        text.map_err(|e| e.to_string())
+    };
+    matrix::Experiment::parse(text, &find).map_err(|wrong| faults(&file.display().to_string(), &wrong))
+}
+
+fn failed(e: &runner::ExperimentError) -> ExitCode {
+    warn!("stonevane: {e}");
+    let unusable = matches!(e, runner::ExperimentError::Unusable(_));
+    ExitCode::from(if unusable { UNUSABLE } else { NOT_RUN })
+}
+
+impl Experiment {
+    fn run(self) -> ExitCode {
+        let text = match read(&self.file) {
+            Ok(text) => text,
+            Err(code) => return code,
+        };
+        let matrix = match experiment(&self.file, &text) {
+            Ok(matrix) => matrix,
+            Err(code) => return code,
+        };
+        let builds = node::program(self.node_program.as_deref())
+            .and_then(|program| runner::Builds::of(&program, self.against.as_deref()));
+        let builds = match builds {
+            Ok(builds) => builds,
+            Err(e) => {
+                warn!("stonevane: {e}");
+                return ExitCode::from(UNUSABLE);
+            }
+        };
+        let folder = self.out.clone().unwrap_or_else(|| PathBuf::from(&matrix.name));
+        match runner::play(&matrix, &text, &builds, &folder, &mut |line| warn!("  {line}")) {
+            Ok(played) => shown(&matrix, &played, false),
+            Err(e) => failed(&e),
+        }
+    }
+}
+
+fn reported(folder: &Path, json: bool) -> ExitCode {
+    let read = runner::text(folder).and_then(|text| Ok((text, runner::Folder::read(folder)?)));
+    match read {
+        Ok((text, played)) => match experiment(&folder.join("experiment.toml"), &text) {
+            Ok(matrix) => shown(&matrix, &played, json),
+            Err(code) => code,
+        },
+        Err(e) => {
+            warn!("stonevane: {e}");
+            ExitCode::from(UNUSABLE)
+        }
+    }
+}
+
+/// Prints a report, and writes its page into the folder.
+fn shown(matrix: &matrix::Experiment, played: &runner::Folder, json: bool) -> ExitCode {
+    let made = report::report(matrix, played);
+    match json {
+        true => say!("{}", serde_json::to_string_pretty(&made).unwrap_or_default()),
+        false => say!("{made}"),
+    }
+    let page = played.path.join("report.html");
+    match std::fs::write(&page, report::html(&made, played)) {
+        Ok(()) => {
+            warn!("the page: {}", page.display());
+            ExitCode::SUCCESS
+        }
+        Err(e) => {
+            warn!("stonevane: {}: {e}", page.display());
+            ExitCode::from(NOT_RUN)
+        }
+    }
+}
+
 fn audited(history: &Path, json: bool) -> ExitCode {
     let report = File::open(history).map_err(HistoryError::Io).and_then(|file| audit(BufReader::new(file)));
     match report {
--- a/crates/stonevane/src/main.rs
+++ b/crates/stonevane/src/main.rs
@@ -28,6 +28,7 @@
 
 use clap::{Parser, Subcommand};
 use stonevane_config::operator::Operator;
+use tracing_subscriber::EnvFilter;
 
 /// The command line beside the daemon: check configuration, run the lab, audit histories, run stand-ins.
 #[derive(Parser)]
@@ -46,6 +47,13 @@
 Exit codes: 0 all holds, 1 a rule or an expectation is broken, 2 the input can't be used, 3 it could not be run."
 )]
 struct Cli {
+    /// Logs of the lab and its stand-ins on standard error: a level, or levels by package
+    /// (`info`, `warn,stonevane_standin=debug`).
+    #[arg(long, global = true, value_name = "LEVELS", value_parser = levels)]
+    log: Option<EnvFilter>,
+    /// Logs as JSON lines.
+    #[arg(long, global = true, requires = "log")]
+    log_json: bool,
     #[command(subcommand)]
     command: Command,
 }
@@ -116,8 +124,22 @@
     }
 }
 
+fn levels(text: &str) -> Result<EnvFilter, String> {
+    text.parse().map_err(|e| format!("{e}"))
+}
+
+/// Sends logs to standard error, where they are asked for.
+fn log(levels: Option<EnvFilter>, json: bool) {
+    let Some(levels) = levels else { return };
+    let made =
+        tracing_subscriber::fmt().with_env_filter(levels).with_writer(std::io::stderr).with_ansi(false);
+    if json { made.json().init() } else { made.init() }
+}
+
 fn main() -> ExitCode {
-    match Cli::parse().command {
+    let cli = Cli::parse();
+    log(cli.log, cli.log_json);
+    match cli.command {
         Command::Config(Config::Check { file }) => check(&file),
         Command::Lab(lab) => lab.run(),
         Command::StandIn(standin) => standin.run(),
--- /dev/null
+++ b/crates/stonevane/tests/common/mod.rs
@@ -0,0 +1,52 @@
+//! What all tests of the command line need.
+#![allow(dead_code, missing_docs)]
+
+use std::path::{Path, PathBuf};
+use std::process::{Command, Output};
+use std::sync::OnceLock;
+
+pub const STONEVANE: &str = env!("CARGO_BIN_EXE_stonevane");
+
+pub fn stonevane(args: &[&str]) -> Output {
+    Command::new(STONEVANE).args(args).env_remove("CARGO").output().unwrap()
+}
+
+pub fn text(bytes: &[u8]) -> String {
+    String::from_utf8_lossy(bytes).into_owned()
+}
+
+/// The daemon, built once where no other test has.
+pub fn node() -> &'static str {
+    static NODE: OnceLock<String> = OnceLock::new();
+    NODE.get_or_init(|| {
+        let folder = Path::new(STONEVANE).parent().unwrap();
+        let mut build = Command::new(env!("CARGO"));
+        build.args(["build", "--locked", "-q", "-p", "stonevane-node"]);
+        if folder.ends_with("release") {
+            build.arg("--release");
+        }
+        assert!(build.status().unwrap().success());
+        folder.join("spardeal-node").display().to_string()
+    })
+}
+
+/// A file that goes when its test ends.
+pub struct Temp(pub PathBuf);
+
+impl Temp {
+    pub fn new(name: &str, text: &str) -> Temp {
+        let path = std::env::temp_dir().join(format!("stonevane-cli-{}-{name}", std::process::id()));
+        std::fs::write(&path, text).unwrap();
+        Temp(path)
+    }
+
+    pub fn path(&self) -> &str {
+        self.0.to_str().unwrap()
+    }
+}
+
+impl Drop for Temp {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_file(&self.0);
+    }
+}
