Let the daemon's misses and edits end in SQLite, where the operator says so

Need: the store of record was used by the command line only.

Change: [store] of the operator file puts SQLite in the origin's place, behind the Backend seam; the decision module decides about each call as before.

--- a/crates/stonevane-audit/tests/model.rs
+++ b/crates/stonevane-audit/tests/model.rs
@@ -258,7 +258,7 @@
     fn heard(&self, told: usize, until: usize) -> bool {
         let node = &self.lines[told].node;
         let of = |l: &&Line| l.event == Event::Node && l.node == *node;
-        let gone = self.lines[..told].iter().filter(of).next_back().is_some_and(|l| l.state == "killed");
+        let gone = self.lines[..told].iter().rfind(of).is_some_and(|l| l.state == "killed");
         !gone && !self.lines[told..until].iter().filter(of).any(|l| l.state == "killed")
     }
 
--- a/crates/stonevane-config/src/operator.rs
+++ b/crates/stonevane-config/src/operator.rs
@@ -1,6 +1,7 @@
 //! The operator file: what is new and for other installations, each section owned by the subsystem that uses
 //! it. A file that sets nothing changes nothing.
 
+use std::path::PathBuf;
 use std::time::Duration;
 
 use crate::{Document, Fault, Table};
@@ -66,13 +67,43 @@
     }
 }
 
+/// The store of record within the node, in the place of the origin; owned by its backend.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Store {
+    /// The SQLite file; made where there is none.
+    pub sqlite: PathBuf,
+    /// Threads that read, from 1 to 16.
+    pub readers: usize,
+    /// Calls that may wait before the store; more are turned away at once.
+    pub queue: usize,
+    /// How long to wait for another process that holds the file.
+    pub busy: Duration,
+}
+
+impl Store {
+    fn read(table: &Table<'_, '_>) -> Store {
+        let sqlite = table.required("sqlite");
+        if table.has("sqlite") && sqlite.is_empty() {
+            table.fault(table.place_of("sqlite"), "`sqlite` is to name a file");
+        }
+        Store {
+            sqlite: sqlite.into(),
+            readers: table.integer("readers", 2, 1..=16) as usize,
+            queue: table.integer("queue", 1_024, 1..=65_536) as usize,
+            busy: Duration::from_millis(table.integer("busy_ms", 200, 1..=10_000)),
+        }
+    }
+}
+
 /// All that an operator file can set.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
 pub struct Operator {
     /// `[clients]`.
     pub clients: Clients,
     /// `[servers]`.
     pub servers: Servers,
+    /// `[store]`; `None`: the origin is a server of the list.
+    pub store: Option<Store>,
 }
 
 impl Operator {
@@ -97,6 +128,10 @@
             operator.servers.rest = Duration::from_millis(table.integer("rest_ms", base, 0..=1_000));
             table.finish();
         }
+        if let Some(table) = root.table("store") {
+            operator.store = Some(Store::read(&table));
+            table.finish();
+        }
         root.finish();
         let faults = document.faults();
         if faults.is_empty() { Ok(operator) } else { Err(faults) }
--- a/crates/stonevane-node/src/backends/mod.rs
+++ b/crates/stonevane-node/src/backends/mod.rs
@@ -4,6 +4,7 @@
 
 pub mod cache;
 pub mod origin;
+pub mod store;
 mod stream;
 
 use std::future::Future;
--- a/crates/stonevane-node/src/lib.rs
+++ b/crates/stonevane-node/src/lib.rs
@@ -24,6 +24,8 @@
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{Notify, Semaphore, mpsc, watch};
 
+use backends::Backend;
+use backends::store::Embedded;
 use clock::{Clock, log};
 use config::Config;
 use fronts::Front;
@@ -39,7 +41,7 @@
 /// Sockets kept back for the listener, discovery and the runtime, and for those just being closed.
 const RESERVE: usize = 16;
 
-async fn run(config: Config) -> std::io::Result<()> {
+async fn run(config: Config, store: Option<Arc<Embedded>>) -> std::io::Result<()> {
     let (hub, inputs) = mpsc::channel(INPUTS);
     let (phase_set, phase) = watch::channel(Phase::Starting);
     let clock = Clock::start();
@@ -89,7 +91,12 @@
     // All places are free: no client is left, and nobody takes new ones. Against an answer that the last client's
     // task has not written yet when the node ends.
     let idle = move || room.available_permits() >= part;
-    Node::new(config, deployment, clock, hub, (part, table), memory).run(inputs, phase_set, idle).await;
+    let backend = store.clone().map(|store| store as Arc<dyn Backend>);
+    let node = Node::new(config, deployment, clock, hub, (part, table), memory, backend);
+    node.run(inputs, phase_set, idle).await;
+    if let Some(store) = store {
+        log(&store.done());
+    }
     Ok(())
 }
 
@@ -136,9 +143,17 @@
             return ExitCode::from(2);
         }
     };
+    let store = match config.operator.store.as_ref().map(|told| (told, Embedded::open(told))) {
+        None => None,
+        Some((_, Ok(store))) => Some(Arc::new(store)),
+        Some((told, Err(e))) => {
+            log(&format!("the store {}: {e}", told.sqlite.display()));
+            return ExitCode::from(2);
+        }
+    };
     let listen = config.listen;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-    match runtime.and_then(|runtime| runtime.block_on(run(config))) {
+    match runtime.and_then(|runtime| runtime.block_on(run(config, store))) {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
             log(&format!("cannot listen on {listen}: {e}"));
--- a/crates/stonevane-node/src/node.rs
+++ b/crates/stonevane-node/src/node.rs
@@ -105,6 +105,7 @@
         hub: mpsc::Sender<Input>,
         table: (usize, Arc<Semaphore>),
         memory: Memory,
+        store: Option<Arc<dyn Backend>>,
     ) -> Self {
         Node {
             clock,
@@ -116,7 +117,7 @@
             next: 1,
             servers: HashMap::new(),
             cache: Arc::new(Streamed::new(cache::Cache)),
-            origin: Arc::new(Streamed::new(origin::Origin)),
+            origin: store.unwrap_or_else(|| Arc::new(Streamed::new(origin::Origin))),
             pool: Pool::new(table, deployment.clone(), &config.operator.servers, memory.clone(), hub.clone()),
             memory,
             discovery: Discovery::new(config.discovery, config.known.index, hub),
--- a/crates/stonevane/tests/cli.rs
+++ b/crates/stonevane/tests/cli.rs
@@ -2,9 +2,9 @@
 #![allow(missing_docs)]
 
 use std::io::{BufRead, BufReader};
-use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Output, Stdio};
-use std::sync::{Mutex, OnceLock};
+use std::path::Path;
+use std::process::{Child, Command, Stdio};
+use std::sync::Mutex;
 
 mod common;
 
