Let misses of one key share one call of the gate where the store shares fetches

Need: 200 misses for one key each cost the gate a call, and a flight's edit and expiry walked all that was in the air.

Change: the decision module knows which fetch of a key may be joined (setting shares_fetches, off on the platform; the node sets it with its own store); a joined call is no call of the gate, and its end says nothing of the origin. Nothing joins what has ended or is older than a write of its key. Flights have an index by key and a heap of ends.

--- a/crates/stonevane-config/tests/faults.rs
+++ b/crates/stonevane-config/tests/faults.rs
@@ -19,7 +19,15 @@
     let on = shipped.lines().map(|line| line.strip_prefix("# ").filter(set).unwrap_or(line));
     let on: Vec<_> = on.collect();
     assert!(on.iter().filter(|line| line.contains(" = ")).count() > 4);
-    assert_eq!(Operator::parse(&on.join("\n")), Ok(Operator::default()));
+    let all = Operator::parse(&on.join("\n")).unwrap();
+    // The store is off where its section is not there; what it offers besides its file is the default.
+    let least = Operator::parse("[store]\nsqlite = 'zones.db'").unwrap();
+    assert!(all.store.is_some() && all == least);
+    assert_eq!(Operator { store: None, ..all }, Operator::default());
+    let bad = |text: &str| Operator::parse(text).unwrap_err()[0].to_string();
+    assert!(bad("[store]\nreaders = 2").contains("`sqlite` is missing in [store]"));
+    assert!(bad("[store]\nsqlite = ''").contains("is to name a file"));
+    assert!(bad("[store]\nsqlite = 'z'\nreaders = 0").contains("`readers` is to be from 1 to 16"));
 }
 
 #[test]
--- a/crates/stonevane-node/src/lib.rs
+++ b/crates/stonevane-node/src/lib.rs
@@ -54,7 +54,9 @@
     let mut hangup = signal(SignalKind::hangup())?;
     let listener = TcpListener::bind(config.listen).await?;
     log(&format!("listening on {}", listener.local_addr()?));
-    let deployment = Arc::new(config.deployment.clone());
+    let mut deployment = config.deployment.clone();
+    deployment.settings.shares_fetches = store.is_some();
+    let deployment = Arc::new(deployment);
     let open = Arc::new(Semaphore::new(deployment.max_open.min(MAX_OPEN)));
     let memory = Memory::new(config.memory_mb);
     let front = Front {
--- a/crates/stonevane-store/src/flight.rs
+++ b/crates/stonevane-store/src/flight.rs
@@ -5,7 +5,8 @@
 //! *fences* the flights that began before its receipt: who asks after the receipt starts a new one, and no cache
 //! keeps what an old one brings. No I/O, no clock.
 
-use std::collections::HashMap;
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap, HashMap};
 
 /// Names a flight; never used twice.
 pub type FlightId = u64;
@@ -55,7 +56,8 @@
 
 struct Flight<K> {
     key: K,
-    joiners: Vec<(JoinerId, Micros)>,
+    /// In the order in which they joined.
+    joiners: BTreeMap<u64, JoinerId>,
     /// An edit was under way at some time since it began.
     touched: bool,
 }
@@ -67,7 +69,15 @@
     flights: HashMap<FlightId, Flight<K>>,
     /// The flight of each key that may still be joined.
     open: HashMap<K, FlightId>,
-    joined: HashMap<JoinerId, FlightId>,
+    /// All flights of each key.
+    of_key: HashMap<K, Vec<FlightId>>,
+    /// The flight of each joiner, and its place there.
+    joined: HashMap<JoinerId, (FlightId, u64)>,
+    /// When each joiner's time is up; some may have left.
+    ends: BinaryHeap<Reverse<(Micros, JoinerId)>>,
+    place: u64,
+    /// Flights and joiners that were looked at, for tests of the cost.
+    looked: u64,
     /// Edits under way, by key.
     edits: HashMap<K, usize>,
     editing: usize,
@@ -81,7 +91,11 @@
             next: 1,
             flights: HashMap::new(),
             open: HashMap::new(),
+            of_key: HashMap::new(),
             joined: HashMap::new(),
+            ends: BinaryHeap::new(),
+            place: 0,
+            looked: 0,
             edits: HashMap::new(),
             editing: 0,
         }
@@ -98,8 +112,9 @@
             if flight.joiners.len() >= self.limits.joiners {
                 return Joined::NoRoom;
             }
-            flight.joiners.push((joiner, until));
-            self.joined.insert(joiner, id);
+            self.place += 1;
+            flight.joiners.insert(self.place, joiner);
+            self.waits(joiner, id, until);
             return Joined::Waits(id);
         }
         if self.flights.len() >= self.limits.flights {
@@ -108,17 +123,31 @@
         let id = self.next;
         self.next += 1;
         let touched = self.edits.contains_key(key);
-        self.flights.insert(id, Flight { key: key.clone(), joiners: vec![(joiner, until)], touched });
+        self.place += 1;
+        let joiners = BTreeMap::from([(self.place, joiner)]);
+        self.flights.insert(id, Flight { key: key.clone(), joiners, touched });
         self.open.insert(key.clone(), id);
-        self.joined.insert(joiner, id);
+        self.of_key.entry(key.clone()).or_default().push(id);
+        self.waits(joiner, id, until);
         Joined::Begins(id)
     }
 
+    fn waits(&mut self, joiner: JoinerId, id: FlightId, until: Micros) {
+        self.joined.insert(joiner, (id, self.place));
+        self.ends.push(Reverse((until, joiner)));
+        // Those who left leave their ends behind: made anew when they are the most of them.
+        if self.ends.len() > 64 + 2 * self.joined.len() {
+            let joined = &self.joined;
+            self.ends.retain(|Reverse((_, joiner))| joined.contains_key(joiner));
+        }
+    }
+
     /// One who waited has left; the flight that is to be cancelled, where it was the last.
     pub fn leave(&mut self, joiner: JoinerId) -> Option<FlightId> {
-        let id = self.joined.remove(&joiner)?;
+        let (id, place) = self.joined.remove(&joiner)?;
         let flight = self.flights.get_mut(&id)?;
-        flight.joiners.retain(|(other, _)| *other != joiner);
+        self.looked += 1;
+        flight.joiners.remove(&place);
         flight.joiners.is_empty().then(|| {
             self.drop_flight(id);
             id
@@ -127,10 +156,16 @@
 
     /// Those whose time is up by now leave; each is to be answered. Flights with nobody left are to be cancelled.
     pub fn expire(&mut self, now: Micros) -> (Vec<JoinerId>, Vec<FlightId>) {
-        let late = |flight: &Flight<K>| -> Vec<JoinerId> {
-            flight.joiners.iter().filter(|(_, until)| *until <= now).map(|(joiner, _)| *joiner).collect()
-        };
-        let mut over: Vec<JoinerId> = self.flights.values().flat_map(late).collect();
+        let mut over = Vec::new();
+        while let Some(Reverse((until, joiner))) = self.ends.peek().copied()
+            && until <= now
+        {
+            self.ends.pop();
+            self.looked += 1;
+            if self.joined.contains_key(&joiner) {
+                over.push(joiner);
+            }
+        }
         over.sort_unstable();
         let mut cancelled: Vec<FlightId> = over.iter().filter_map(|joiner| self.leave(*joiner)).collect();
         cancelled.sort_unstable();
@@ -140,7 +175,7 @@
     /// A flight has ended, with a value or without: whom that concerns. `None` where it was cancelled.
     pub fn landed(&mut self, id: FlightId) -> Option<Landed<K>> {
         let flight = self.drop_flight(id)?;
-        let joiners: Vec<_> = flight.joiners.iter().map(|(joiner, _)| *joiner).collect();
+        let joiners: Vec<_> = flight.joiners.into_values().collect();
         for joiner in &joiners {
             self.joined.remove(joiner);
         }
@@ -155,8 +190,11 @@
         self.editing += 1;
         *self.edits.entry(key.clone()).or_default() += 1;
         // What is in the air may bring either value: those who wait may have it, no cache may.
-        for flight in self.flights.values_mut().filter(|flight| flight.key == *key) {
-            flight.touched = true;
+        for id in self.of_key.get(key).into_iter().flatten() {
+            self.looked += 1;
+            if let Some(flight) = self.flights.get_mut(id) {
+                flight.touched = true;
+            }
         }
         true
     }
@@ -177,6 +215,11 @@
         self.flights.len()
     }
 
+    /// Flights and joiners that were looked at so far: what the calls cost.
+    pub fn looked(&self) -> u64 {
+        self.looked
+    }
+
     /// Those who wait.
     pub fn waiting(&self) -> usize {
         self.joined.len()
@@ -187,6 +230,12 @@
         if self.open.get(&flight.key) == Some(&id) {
             self.open.remove(&flight.key);
         }
+        if let Some(ids) = self.of_key.get_mut(&flight.key) {
+            ids.retain(|other| *other != id);
+            if ids.is_empty() {
+                self.of_key.remove(&flight.key);
+            }
+        }
         Some(flight)
     }
 }
--- a/crates/stonevane-store/tests/flight.rs
+++ b/crates/stonevane-store/tests/flight.rs
@@ -296,3 +296,37 @@
         }
     }
 }
+
+#[test]
+fn an_edit_an_expiry_and_one_who_leaves_cost_the_same_whatever_else_is_in_the_air() {
+    let cost = |others: u64| {
+        let mut flights: Flights<u64> = Flights::new(Limits { flights: 2_000, ..Limits::default() });
+        for key in 0..others {
+            flights.join(&(1_000 + key), 10_000 + key, 1_000_000);
+        }
+        flights.join(&1, 1, 50);
+        flights.join(&1, 2, 1_000);
+        flights.join(&1, 3, 1_000);
+        let before = flights.looked();
+        assert!(flights.edit_begins(&1));
+        flights.edit_ended(&1);
+        assert_eq!(flights.expire(60), (vec![1], vec![]));
+        assert_eq!(flights.leave(2), None);
+        assert!(flights.leave(3).is_some());
+        flights.looked() - before
+    };
+    assert_eq!(cost(0), cost(1_000));
+    assert!(cost(1_000) < 10);
+}
+
+#[test]
+fn ends_of_those_who_left_are_not_kept_for_ever() {
+    let mut flights: Flights<u64> = Flights::new(Limits::default());
+    for joiner in 0..100_000 {
+        flights.join(&1, joiner, u64::MAX);
+        flights.leave(joiner);
+    }
+    let looked = flights.looked();
+    flights.expire(u64::MAX);
+    assert!(flights.looked() - looked < 200, "{}", flights.looked() - looked);
+}
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -279,7 +279,11 @@
             // Servers that fetch for themselves take writes too.
             None => self.pick(id),
         };
-        match target.filter(|_| self.gate_open(call)) {
+        // Against misses of one key that each ask the origin anew: where calls are shared, one that joins
+        // another costs nothing there, and the gate nothing.
+        let joins = call == Call::Fetch && self.joinable.contains_key(&self.held[&id].key);
+        let call = if joins { Call::Joined } else { call };
+        match target.filter(|_| joins || self.gate_open(call)) {
             None => self.postpone(id, out),
             Some(target) if self.send(id, target, call, out) => {}
             Some(_) => self.end(id, out),
@@ -335,6 +339,7 @@
         }
         let cold = (self.cold_bucket(s).0 + 1.0, self.now);
         let (attempt, sent, aim) = (h.sent, self.now, self.settings.classes[h.class].aim);
+        let key = h.key;
         let slow_after = (aim as f64 * PATIENCE) as Micros;
         if let (Some(h), Some(s)) = (self.held.get_mut(&id), self.servers.get_mut(&server)) {
             (h.sent, h.out) = (h.sent + 1, h.out + 1);
@@ -346,10 +351,13 @@
             self.wake(slow_after, Wake::Patience(id, attempt));
         } else {
             self.gate.enter(call);
+            if call == Call::Fetch && self.settings.shares_fetches {
+                self.joinable.insert(key, (id, attempt));
+            }
             let lost_after = self.servers.get(&server).map_or(0.0, |s| LOST * s.takes) as Micros + 1;
             self.wake(lost_after.max(slow_after), Wake::Patience(id, attempt));
         }
-        self.flights.insert((id, attempt), Flight { server, call, sent, aim, slow_after });
+        self.flights.insert((id, attempt), Flight { server, call, key, sent, aim, slow_after });
         out.push(Action::Send { request: id, server, give_up_after: 0 });
         true
     }
@@ -472,6 +480,14 @@
 
     /// A slow, failing or refusing origin lowers the gate's limit, within a floor; good answers restore it.
     fn learn_origin(&mut self, flight: &Flight, o: &Outcome, out: &mut Vec<Action>) {
+        // Nothing joins a fetch that has ended, nor one that is older than a write of its key.
+        let own = self.joinable.get(&flight.key) == Some(&(o.request, o.attempt));
+        if own || flight.call == Call::Write {
+            self.joinable.remove(&flight.key);
+        }
+        if flight.call == Call::Joined {
+            return; // The call that it shared tells it.
+        }
         let slow = self.now - flight.sent > (self.origin_aim as f64 * ORIGIN_SLOW) as Micros;
         let g = &mut self.gate;
         g.leave(flight.call);
@@ -542,8 +558,9 @@
     /// repeats and, at the origin, through the gate. Without it each would cost its request all its time.
     fn send_again(&mut self, id: RequestId, f: &Flight, out: &mut Vec<Action>) {
         let only = self.held.get(&id).is_some_and(|h| h.out == 1);
-        let open = only && self.repeats >= 1.0 && (f.call == Call::Cache || self.gate_open(f.call));
-        if open && self.send(id, f.server, f.call, out) {
+        let call = if f.call == Call::Joined { Call::Fetch } else { f.call };
+        let open = only && self.repeats >= 1.0 && (call == Call::Cache || self.gate_open(call));
+        if open && self.send(id, f.server, call, out) {
             self.repeats -= 1.0;
         }
     }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -46,6 +46,8 @@
     pub may_probe: bool,
     /// Whether balancers may send each other messages.
     pub may_tell_peers: bool,
+    /// Whether fetches of a key that are out at once share one call to the origin.
+    pub shares_fetches: bool,
     /// Price of the connections that one balancer in a hundred holds open to all servers ...
     pub connection_price: f64,
     /// ... and of opening one for each request.
@@ -85,6 +87,7 @@
             may_cancel: false,
             may_probe: false,
             may_tell_peers: false,
+            shares_fetches: false,
             connection_price: 0.0,
             handshake_price: 0.0,
             max_retry_after: 0,
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -215,6 +215,8 @@
         may_cancel: limits.may_cancel,
         may_probe: limits.probes,
         may_tell_peers: limits.peers,
+        // Not of the platform: the node sets it where its own store shares them.
+        shares_fetches: false,
         connection_price: wire.prices.connection,
         handshake_price: wire.prices.handshake,
         max_retry_after: if limits.retry_after { micros(limits.max_retry_after_us) } else { 0 },
--- a/src/state.rs
+++ b/src/state.rs
@@ -21,6 +21,8 @@
     pub(crate) held: BTreeMap<RequestId, Held>,
     pub(crate) flights: BTreeMap<(RequestId, u16), Flight>,
     pub(crate) gate: Gate,
+    /// Where fetches are shared: the call for a key that others may join.
+    pub(crate) joinable: BTreeMap<Key, (RequestId, u16)>,
     pub(crate) senders: Vec<Bucket>,
     pub(crate) pool: Bucket,
     /// This balancer's equal part of all quotas, 0 where there are none.
@@ -48,6 +50,19 @@
     Cache,
     Fetch,
     Write,
+    /// A fetch that shares the call of another: none for the origin.
+    Joined,
+}
+
+impl Call {
+    /// The gate's counters that it stands in: of all calls, and of fetches.
+    fn counted(self) -> std::ops::Range<usize> {
+        0..match self {
+            Call::Fetch => 2,
+            Call::Write => 1,
+            Call::Cache | Call::Joined => 0,
+        }
+    }
 }
 
 /// An attempt without outcome yet; it may outlive its request.
@@ -55,6 +70,7 @@
 pub struct Flight {
     pub server: ServerId,
     pub call: Call,
+    pub key: Key,
     pub sent: Micros,
     pub aim: Micros,
     /// It is slow when it has been out for this long.
@@ -152,7 +168,7 @@
 impl Gate {
     /// Raises the counters just before a call.
     pub fn enter(&mut self, call: Call) {
-        for i in 0..=usize::from(call == Call::Fetch) {
+        for i in call.counted() {
             self.out[i] += 1;
             self.tally[i] += 1;
         }
@@ -167,7 +183,7 @@
 
     /// Lowers the counters after any outcome of a call.
     pub fn leave(&mut self, call: Call) {
-        for i in 0..=usize::from(call == Call::Fetch) {
+        for i in call.counted() {
             self.out[i] -= 1;
         }
     }
--- a/tests/brain.rs
+++ b/tests/brain.rs
@@ -123,6 +123,60 @@
     assert_eq!(sent_to(&node.request(write(50, 1))), Some(ORIGIN));
 }
 
+/// A node whose fetches are shared, with so many misses of one key, all of them out; how many were sent on.
+fn stampede(shares_fetches: bool) -> (Node, usize) {
+    let tenants = vec![Tenant { quota_per_s: 1e6 }];
+    let mut node = Node::new(Settings { shares_fetches, tenants, ..settings() }, 40);
+    let first: Vec<_> = (1..=200).map(|id| sent_to(&node.request(read(id, 9))).unwrap()).collect();
+    let fetched = first
+        .iter()
+        .zip(1..)
+        .filter(|(s, id)| sent_to(&node.outcome(*id, 0, **s, Status::Miss)) == Some(ORIGIN));
+    let count = fetched.count();
+    (node, count)
+}
+
+#[test]
+fn two_hundred_misses_of_one_key_that_share_a_fetch_cost_the_gate_one_call() {
+    assert!(stampede(false).1 < 20, "each is a call, and the gate shuts");
+    let (mut node, fetched) = stampede(true);
+    assert_eq!(fetched, 200);
+    // One call is out: others of other keys still pass, as many as before less one.
+    let mut through = 0;
+    for id in 301..=330 {
+        let first = sent_to(&node.request(read(id, 100 + id))).unwrap();
+        through += sends(&node.outcome(id, 0, first, Status::Miss));
+    }
+    assert_eq!(through, 6, "seven in ten of half of the cap of twenty, less the one");
+    // Whatever becomes of those who joined says nothing of the origin, and gives back nothing that they never took.
+    for id in 2..=200 {
+        node.outcome(id, 1, ORIGIN, Status::Served);
+    }
+    assert_eq!(sends(&node.pass(20 * MS)), 0, "the gate is as full as before");
+    node.outcome(1, 1, ORIGIN, Status::Served);
+    assert_eq!(sends(&node.pass(60 * MS)), 1, "the one call has made room for one");
+}
+
+#[test]
+fn nothing_joins_a_fetch_that_has_ended_or_is_older_than_a_write_of_its_key() {
+    let (mut node, _) = stampede(true);
+    node.outcome(1, 1, ORIGIN, Status::Served);
+    let again = |node: &mut Node, id| {
+        let first = sent_to(&node.request(read(id, 9))).unwrap();
+        sends(&node.outcome(id, 0, first, Status::Miss))
+    };
+    // The gate's room for fetches tells whether a call was counted: seven at once.
+    assert_eq!(again(&mut node, 401), 1, "a new call");
+    let wrote = Request { key: 9, ..write(402, 1) };
+    assert_eq!(sent_to(&node.request(wrote)), Some(ORIGIN));
+    node.outcome(402, 0, ORIGIN, Status::Served);
+    for id in 403..=408 {
+        assert_eq!(again(&mut node, id), 1);
+    }
+    node.outcome(401, 1, ORIGIN, Status::Served);
+    assert_eq!(again(&mut node, 409), 1, "the end of the older call does not end what joined the newer");
+}
+
 #[test]
 fn an_origin_that_refuses_lowers_the_gate_and_good_answers_restore_it() {
     let lowered = || {
--- a/tests/properties.rs
+++ b/tests/properties.rs
@@ -62,6 +62,7 @@
                 max_attempts,
                 may_duplicate: duplicate,
                 may_tell_peers: peers,
+                shares_fetches: ask != sizes,
                 cold_share,
                 warm_up: 2_000_000,
                 ..Settings::default()
