Give each line of store put its result, name damage in one line, save what can be read

Need (measured from outside): put stopped at its first bad line, check and export printed 80 lines for a damaged file and named the wrong one, init did not flush its folder.

--- a/crates/stonevane-store/src/sqlite.rs
+++ b/crates/stonevane-store/src/sqlite.rs
@@ -160,9 +160,12 @@
         File::open(&new).and_then(|file| file.sync_all()).map_err(io)?;
         match std::fs::hard_link(&new, path) {
             // Another process has made it meanwhile.
-            Err(e) if e.kind() == std::io::ErrorKind::AlreadyExists => Ok(()),
-            linked => linked.map_err(io),
+            Err(e) if e.kind() == std::io::ErrorKind::AlreadyExists => return Ok(()),
+            linked => linked.map_err(io)?,
         }
+        // Its name too is there after a power cut.
+        let folder = path.parent().filter(|folder| !folder.as_os_str().is_empty());
+        File::open(folder.unwrap_or(Path::new("."))).and_then(|folder| folder.sync_all()).map_err(io)
     })();
     let _ = std::fs::remove_file(&new);
     made
@@ -201,6 +204,70 @@
     db.query_row("PRAGMA wal_checkpoint(TRUNCATE)", [], |_| Ok(())).map_err(|e| failure(&e))
 }
 
+/// Whether SQLite's own check finds nothing; else the first fault, and how many more there are.
+fn sound(db: &Connection, check: &str) -> Result<(), StoreError> {
+    let mut faults: Vec<String> = Vec::new();
+    let read = db.pragma_query(None, check, |row| {
+        let said: String = row.get(0)?;
+        faults.extend(said.lines().filter(|line| !line.starts_with("***")).map(str::to_owned));
+        Ok(())
+    });
+    faults.retain(|fault| fault != "ok");
+    match (faults.first(), faults.len().saturating_sub(1)) {
+        (None, _) => read.map_err(|e| failure(&e)),
+        (Some(first), 0) => Err(StoreError::Corrupt(first.clone())),
+        (Some(first), more) => Err(StoreError::Corrupt(format!("{first} (and {more} more faults)"))),
+    }
+}
+
+/// Reads what can be read of a damaged file, which is not written to: from its first key on to where it breaks, and
+/// from its last one back. How many zones that were, and what ended each way where one broke.
+///
+/// # Errors
+/// [`StoreError::Foreign`] and the like; [`StoreError::Io`] where `each` failed.
+pub fn salvage(
+    path: &Path,
+    mut each: impl FnMut(Zone) -> std::io::Result<()>,
+) -> Result<(u64, Vec<String>), StoreError> {
+    if !look(path)? {
+        return Err(StoreError::Io("there is no such store".into()));
+    }
+    let flags = rusqlite::OpenFlags::SQLITE_OPEN_READ_ONLY;
+    let db = Connection::open_with_flags(path, flags).map_err(|e| failure(&e))?;
+    let (mut count, mut broke, mut last) = (0, Vec::new(), None::<String>);
+    for order in ["ASC", "DESC"] {
+        let query = format!("SELECT key, value, version, edited_at FROM zones ORDER BY key {order}");
+        let whole = (|| -> Result<Result<bool, std::io::Error>, rusqlite::Error> {
+            let mut statement = db.prepare(&query)?;
+            let mut rows = statement.query([])?;
+            let from_start = last.clone();
+            while let Some(row) = rows.next()? {
+                let zone = zone(row)?;
+                match &from_start {
+                    // What was read from the other end.
+                    Some(last) if zone.key <= *last => return Ok(Ok(true)),
+                    _ => {}
+                }
+                if order == "ASC" {
+                    last = Some(zone.key.clone());
+                }
+                count += 1;
+                if let Err(e) = each(zone) {
+                    return Ok(Err(e));
+                }
+            }
+            Ok(Ok(true))
+        })();
+        match whole {
+            Ok(Ok(_)) if order == "ASC" => return Ok((count, broke)),
+            Ok(Ok(_)) => {}
+            Ok(Err(e)) => return Err(StoreError::Io(e.to_string())),
+            Err(e) => broke.push(failure(&e).to_string()),
+        }
+    }
+    Ok((count, broke))
+}
+
 /// Checks a whole file: its pages, its indices, and that all versions are in order.
 ///
 /// # Errors
@@ -210,11 +277,7 @@
         return Err(StoreError::Io("there is no such store".into()));
     }
     let db = connect(path, options).map_err(|e| failure(&e))?;
-    let said: String =
-        db.pragma_query_value(None, "integrity_check", |row| row.get(0)).map_err(|e| failure(&e))?;
-    if said != "ok" {
-        return Err(StoreError::Corrupt(said));
-    }
+    sound(&db, "integrity_check")?;
     let count = "SELECT COUNT(*), COALESCE(MAX(version), 0), COUNT(DISTINCT version) FROM zones";
     let row = db.query_row(count, [], |row| Ok((row.get(0)?, row.get(1)?, row.get(2)?)));
     let (zones, newest, versions): (u64, u64, u64) = row.map_err(|e| failure(&e))?;
@@ -242,11 +305,7 @@
             make(path, options)?;
         }
         let mut db = connect(path, options).map_err(|e| failure(&e))?;
-        let said: String =
-            db.pragma_query_value(None, "quick_check", |row| row.get(0)).map_err(|e| failure(&e))?;
-        if said != "ok" {
-            return Err(StoreError::Corrupt(said));
-        }
+        sound(&db, "quick_check")?;
         migrate(&mut db)?;
         let (writes, take) = sync_channel(options.queue.max(1));
         let mut threads = Vec::new();
--- a/crates/stonevane/src/store.rs
+++ b/crates/stonevane/src/store.rs
@@ -8,8 +8,8 @@
 use std::time::{Duration, Instant};
 
 use clap::{Args, Subcommand};
-use stonevane_store::sqlite::{FORM, Options, check};
-use stonevane_store::{Edit, Sqlite, StoreError};
+use stonevane_store::sqlite::{FORM, Options, check, salvage};
+use stonevane_store::{Edit, Sqlite, StoreError, Zone};
 
 use crate::{BROKEN, NOT_RUN, UNUSABLE};
 
@@ -39,12 +39,17 @@
   stonevane store import zones.db zones.jsonl        a JSON object with key and value a line")]
     Import(Import),
     /// Exports all zones, in the order of their keys; the form by the name's ending.
-    #[command(after_help = "Example: stonevane store export zones.db zones.csv")]
+    #[command(after_help = "Examples:
+  stonevane store export zones.db zones.csv
+  stonevane store export --salvage damaged.db saved.jsonl     what can be read of a damaged file")]
     Export {
         /// The file.
         file: PathBuf,
         /// Where to, `.csv` or `.jsonl`.
         to: PathBuf,
+        /// Saves what can be read of a damaged file, which is not written to.
+        #[arg(long)]
+        salvage: bool,
     },
     /// Carries edits out that are read from standard input, `TOKEN KEY VALUE` a line; a line for each receipt.
     Put {
@@ -105,7 +110,9 @@
             Store::Init { file } => (file.clone(), init(&file)),
             Store::Check { file } => (file.clone(), checked(&file)),
             Store::Import(import) => (import.from.clone(), runtime.block_on(import.run())),
-            Store::Export { file, to } => (to.clone(), runtime.block_on(export(&file, &to))),
+            Store::Export { file, to, salvage } => {
+                (file.clone(), runtime.block_on(export(&file, &to, salvage)))
+            }
             Store::Put { file } => (file.clone(), runtime.block_on(put(&file))),
             Store::Torture { file, kills, seed } => (file.clone(), torture(&file, kills, seed)),
         };
@@ -249,43 +256,77 @@
     }
 }
 
-async fn export(file: &Path, to: &Path) -> Result<(), Failed> {
-    let as_csv = is_csv(to)?;
-    let store = existing(file)?;
-    // Beside its place, and there when it is whole.
-    let part = to.with_extension("part");
-    let mut out = BufWriter::new(File::create(&part)?);
-    let (mut after, mut count, mut progress) = (String::new(), 0, Progress::new());
-    if as_csv {
-        out.write_all(b"key,value\n")?;
+/// A file beside its place, which gets its name when it is whole.
+struct Export<'a> {
+    to: &'a Path,
+    part: PathBuf,
+    out: BufWriter<File>,
+    as_csv: bool,
+    count: u64,
+    progress: Progress,
+}
+
+impl<'a> Export<'a> {
+    fn begin(to: &'a Path) -> Result<Export<'a>, Failed> {
+        let (as_csv, part) = (is_csv(to)?, to.with_extension("part"));
+        let mut out = BufWriter::new(File::create(&part).map_err(|e| at(to, &e))?);
+        if as_csv {
+            out.write_all(b"key,value\n").map_err(|e| at(to, &e))?;
+        }
+        Ok(Export { to, part, out, as_csv, count: 0, progress: Progress::new() })
+    }
+
+    fn zone(&mut self, zone: &Zone) -> std::io::Result<()> {
+        if self.as_csv {
+            let mut writer = csv::Writer::from_writer(&mut self.out);
+            writer.write_record([zone.key.as_bytes(), &zone.value])?;
+            writer.flush()?;
+        } else {
+            let no_text = || std::io::Error::other(format!("the value of {} is no text", zone.key));
+            let value = std::str::from_utf8(&zone.value).map_err(|_| no_text())?;
+            let row = serde_json::json!({"key": zone.key, "value": value, "version": zone.version});
+            writeln!(self.out, "{row}")?;
+        }
+        self.count += 1;
+        self.progress.at(self.count, "zones");
+        Ok(())
+    }
+
+    fn end(mut self) -> Result<u64, Failed> {
+        let to = self.to;
+        let whole = self.out.flush().and_then(|()| self.out.get_ref().sync_all());
+        whole.and_then(|()| std::fs::rename(&self.part, to)).map_err(|e| at(to, &e))?;
+        Ok(self.count)
     }
+}
+
+/// What failed at another file than the store.
+fn at(file: &Path, e: &std::io::Error) -> Failed {
+    Failed(format!("{}: {e}", file.display()), UNUSABLE)
+}
+
+async fn export(file: &Path, to: &Path, salvaged: bool) -> Result<(), Failed> {
+    if salvaged {
+        let mut out = Export::begin(to)?;
+        let (count, broke) = salvage(file, |zone| out.zone(&zone))?;
+        out.end()?;
+        broke.iter().for_each(|what| warn!("stonevane: {}: {what}", file.display()));
+        say!("{count} zones saved{}", if broke.is_empty() { "" } else { "; there were others" });
+        return Ok(());
+    }
+    is_csv(to)?;
+    let store = existing(file)?;
+    let mut out = Export::begin(to)?;
+    let mut after = String::new();
     loop {
         let zones = store.page(&after, LINES).await?;
         let Some(last) = zones.last() else { break };
         after.clone_from(&last.key);
-        count += zones.len() as u64;
-        if as_csv {
-            let mut writer = csv::Writer::from_writer(&mut out);
-            for zone in &zones {
-                let written = writer.write_record([zone.key.as_bytes(), &zone.value]);
-                written.map_err(|e| Failed(e.to_string(), NOT_RUN))?;
-            }
-            writer.flush()?;
-        } else {
-            for zone in &zones {
-                let value = std::str::from_utf8(&zone.value);
-                let value =
-                    value.map_err(|_| Failed(format!("the value of {} is no text", zone.key), UNUSABLE))?;
-                let row = serde_json::json!({"key": zone.key, "value": value, "version": zone.version});
-                writeln!(out, "{row}")?;
-            }
+        for zone in &zones {
+            out.zone(zone).map_err(|e| at(to, &e))?;
         }
-        progress.at(count, "zones");
     }
-    out.flush()?;
-    out.get_ref().sync_all()?;
-    std::fs::rename(&part, to)?;
-    say!("{count} zones exported");
+    say!("{} zones exported", out.end()?);
     Ok(())
 }
 
@@ -293,20 +334,33 @@
 async fn put(file: &Path) -> Result<(), Failed> {
     let store = open(file)?;
     let stdin = std::io::stdin();
+    let mut out = std::io::stdout();
+    let (mut lines, mut failed) = (0u64, 0u64);
     for line in stdin.lock().take(1 << 30).lines() {
         let line = line?;
+        lines += 1;
         let mut words = line.splitn(3, ' ');
         let (Some(token), Some(key), Some(value)) = (words.next(), words.next(), words.next()) else {
-            return Err(Failed(format!("not like `TOKEN KEY VALUE`: {line}"), UNUSABLE));
+            failed += 1;
+            writeln!(out, "line {lines} failed, not done: not like `TOKEN KEY VALUE`")?;
+            continue;
         };
         let edit =
             Edit { key: key.into(), value: value.into(), token: Some(token.into()), remember_ms: 3_600_000 };
-        let receipt = store.edit(edit).await?;
-        let mut out = std::io::stdout();
-        writeln!(out, "{token} {} {}", receipt.version, receipt.repeat)?;
+        match store.edit(edit).await {
+            Ok(receipt) => writeln!(out, "{token} {} {}", receipt.version, receipt.repeat)?,
+            Err(e) => {
+                failed += 1;
+                let done = if e.proves_not_done() { "not done" } else { "may be done" };
+                writeln!(out, "line {lines} failed, {done}: {token} {key}: {e}")?;
+            }
+        }
         out.flush()?;
     }
-    Ok(())
+    match failed {
+        0 => Ok(()),
+        _ => Err(Failed(format!("{failed} of {lines} lines failed; each is named above"), BROKEN)),
+    }
 }
 
 /// What a writing process has receipted: versions by token.
--- a/crates/stonevane/tests/store.rs
+++ b/crates/stonevane/tests/store.rs
@@ -116,3 +116,64 @@
     assert!(done.status.success(), "{}", text(&done.stderr));
     assert!(text(&done.stdout).starts_with("60 kills, "), "{}", text(&done.stdout));
 }
+
+#[test]
+fn each_line_of_a_put_has_its_own_result() {
+    use std::io::Write as _;
+    let file = std::env::temp_dir().join(format!("stonevane-put-{}.db", std::process::id()));
+    let mut put = Command::new(env!("CARGO_BIN_EXE_stonevane"))
+        .args(["store", "put"])
+        .arg(&file)
+        .stdin(std::process::Stdio::piped())
+        .stdout(std::process::Stdio::piped())
+        .stderr(std::process::Stdio::piped())
+        .spawn()
+        .unwrap();
+    put.stdin.take().unwrap().write_all(b"t1 aa one\nt1 aa other\nnonsense\nt2 bb two\nt1 aa one\n").unwrap();
+    let done = put.wait_with_output().unwrap();
+    let said = String::from_utf8_lossy(&done.stdout).into_owned();
+    let lines: Vec<_> = said.lines().collect();
+    assert_eq!(lines.len(), 5, "{said}");
+    assert_eq!((lines[0], lines[3], lines[4]), ("t1 1 false", "t2 2 false", "t1 1 true"));
+    assert!(lines[1].starts_with("line 2 failed, not done: t1 aa: the idempotency key was used"), "{said}");
+    assert!(lines[2].starts_with("line 3 failed, not done"), "{said}");
+    let last = String::from_utf8_lossy(&done.stderr).into_owned();
+    assert!(last.contains("2 of 5 lines failed") && done.status.code() == Some(1), "{last}");
+    for end in ["", "-wal", "-shm"] {
+        let _ = std::fs::remove_file(format!("{}{end}", file.display()));
+    }
+}
+
+#[test]
+fn a_damaged_file_is_one_line_with_its_own_name_and_what_can_be_read_of_it_is_saved() {
+    let folder = std::env::temp_dir().join(format!("stonevane-damage-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).unwrap();
+    let path = |name: &str| folder.join(name).display().to_string();
+    let rows: String = (0..5_000).map(|n| format!("key-{n:05},{}\n", "v".repeat(100))).collect();
+    std::fs::write(path("zones.csv"), format!("key,value\n{rows}")).unwrap();
+    assert!(store(&["init", &path("zones.db")]).status.success());
+    assert!(store(&["import", &path("zones.db"), &path("zones.csv")]).status.success());
+    // Some pages in the middle are overwritten.
+    let mut bytes = std::fs::read(path("zones.db")).unwrap();
+    let middle = bytes.len() / 2 / 4096 * 4096;
+    bytes[middle..middle + 8 * 4096].fill(0xa5);
+    std::fs::write(path("zones.db"), &bytes).unwrap();
+    for args in [vec!["check", "zones.db"], vec!["export", "zones.db", "out.csv"]] {
+        let args: Vec<String> =
+            args.iter().map(|a| if a.contains('.') { path(a) } else { (*a).to_owned() }).collect();
+        let done = store(&args.iter().map(String::as_str).collect::<Vec<_>>());
+        let said = String::from_utf8_lossy(&done.stderr).into_owned();
+        assert_eq!((said.lines().count(), done.status.code()), (1, Some(1)), "{said}");
+        assert!(said.contains("zones.db: the file is damaged") && said.contains("more faults"), "{said}");
+    }
+    assert!(!folder.join("out.csv").exists());
+    let saved = store(&["export", "--salvage", &path("zones.db"), &path("saved.csv")]);
+    assert!(saved.status.success(), "{saved:?}");
+    let text = std::fs::read_to_string(path("saved.csv")).unwrap();
+    let keys: std::collections::BTreeSet<_> =
+        text.lines().skip(1).map(|l| l.split(',').next().unwrap()).collect();
+    assert!((2_000..5_000).contains(&keys.len()), "{} of 5,000", keys.len());
+    assert_eq!(keys.len(), text.lines().count() - 1, "each once");
+    assert_eq!(std::fs::read(path("zones.db")).unwrap(), bytes, "not touched");
+    std::fs::remove_dir_all(&folder).unwrap();
+}
