--- a/crates/stonevane-lab/src/table.rs
+++ b/crates/stonevane-lab/src/table.rs
@@ -141,6 +141,21 @@
         assert!(!table.release(0) && table.release(0) && table.start(0).is_some());
     }
 
+    #[test]
+    fn a_node_that_dies_by_itself_in_the_middle_of_a_step_stays_dead_until_the_step_ends() {
+        let mut table = Table::new(1);
+        let life = table.start(0).unwrap();
+        table.ready(0, life);
+        assert_eq!(table.term(0), Some(life));
+        assert!(table.ended(0, life) && !table.ended(0, life), "once");
+        assert!(table.start(0).is_none() && table.release(0) && table.start(0).is_some());
+        // By itself, with no step: nothing brings it back.
+        let life = table.get(0).1;
+        assert!(table.ended(0, life));
+        assert_eq!(table.kill(0), None, "nobody is there to be killed");
+        assert!(table.release(0), "the end of a step that holds it does");
+    }
+
     /// What a step does to a node: whether it kills or terms, and the moments of its begin and end.
     type Step = (usize, bool, u64, u64);
 
