--- a/crates/stonevane-standin/tests/sockets.rs
+++ b/crates/stonevane-standin/tests/sockets.rs
@@ -8,6 +8,7 @@
 use bytes::{Bytes, BytesMut};
 use stonevane_codec::resp::{self, Value};
 use stonevane_standin::cache::{Cache, CacheSpec};
+use stonevane_standin::client::{Clients, Load, LoadClass, plan};
 use stonevane_standin::discovery::{Discovery, Entry, Trouble};
 use stonevane_standin::origin::{Origin, OriginSpec};
 use stonevane_standin::peers::{PeerNet, Weather};
@@ -438,3 +439,50 @@
     assert_eq!(came(&sockets[2]).await.len(), 1, "healed");
     assert_eq!(net.counts().too_long, 1);
 }
+
+/// What clients write down of one edit of so many bytes, to a node that resets each connection after a few bytes.
+async fn reset_after_the_first_bytes(value_len: usize) -> Vec<String> {
+    let node = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let targets = [("n0".to_owned(), node.local_addr().unwrap())];
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = node.accept().await {
+            let _ = stream.read_exact(&mut [0; 4]).await;
+            let _ = stream.set_zero_linger();
+        }
+    });
+    let class = LoadClass {
+        name: "zone-edit".into(),
+        share: 1.0,
+        deadline_ms: 500,
+        write: true,
+        keyed: true,
+        repeats: true,
+        value_len,
+    };
+    let load = Load { per_s: 8.0, for_ms: 500, classes: vec![class], retries: 0, ..Load::default() };
+    let path = std::env::temp_dir().join(format!("stonevane-reset-{}-{value_len}", std::process::id()));
+    let (recorder, writer) = Recorder::to(std::fs::File::create(&path).unwrap());
+    let mono = Mono::default();
+    let beat = tokio::spawn(mono.clone().beat());
+    let planned = plan(&load, 1, 3);
+    assert!(!planned.is_empty());
+    let clients = Clients::new(&targets, load, 3, &mono, recorder);
+    clients.play(planned, Mono::now()).await;
+    beat.abort();
+    drop(clients);
+    tokio::task::spawn_blocking(move || writer.finish()).await.unwrap().unwrap();
+    let text = std::fs::read_to_string(&path).unwrap();
+    std::fs::remove_file(&path).unwrap();
+    text.lines().map(str::to_owned).collect()
+}
+
+#[tokio::test]
+async fn a_request_whose_connection_is_reset_before_its_last_byte_was_not_asked() {
+    // More than the machine's buffers take: its last byte is never written, and nobody owes an answer.
+    let torn = reset_after_the_first_bytes(16 << 20).await;
+    assert!(!torn.iter().any(|line| line.contains(r#""event":"ask""#)), "{torn:?}");
+    // One that was taken whole and then reset is lost, and is written down so.
+    let whole = reset_after_the_first_bytes(10).await;
+    let count = |event: &str| whole.iter().filter(|l| l.contains(&format!(r#""event":"{event}""#))).count();
+    assert!(count("ask") > 0 && count("closed") == count("ask"), "{whole:?}");
+}
