Tell discovery of a replaced cache's drain once, and judge test histories in one place

Cause: a replace told of the leaving itself and again through the drain that it calls; the auditor's tests had the mutant's reading loop twice.

Change: one call each.

--- a/crates/stonevane-audit/tests/table.rs
+++ b/crates/stonevane-audit/tests/table.rs
@@ -20,6 +20,18 @@
     static MUTANT: Cell<(Option<&'static str>, bool)> = const { Cell::new((None, false)) };
 }
 
+/// The verdict on a text, by the auditor or by the mutant that is being tried.
+fn judged(text: &str) -> Report {
+    let Some(without) = MUTANT.get().0 else { return audit(text.as_bytes()).unwrap() };
+    let mut auditor = None;
+    let read = history::read(text.as_bytes(), |number, mut line| match &mut auditor {
+        None => auditor = line.rules.take().map(|rules| Auditor::mutant(*rules, without)),
+        Some(auditor) => auditor.line(number, line),
+    });
+    read.unwrap();
+    auditor.unwrap().finish()
+}
+
 impl History {
     fn new() -> Self {
         History::default()
@@ -112,15 +124,7 @@
     }
 
     fn report(&self) -> Report {
-        let text = self.text();
-        let Some(without) = MUTANT.get().0 else { return audit(text.as_bytes()).unwrap() };
-        let mut auditor = None;
-        let read = history::read(text.as_bytes(), |number, mut line| match &mut auditor {
-            None => auditor = line.rules.take().map(|rules| Auditor::mutant(*rules, without)),
-            Some(auditor) => auditor.line(number, line),
-        });
-        read.unwrap();
-        auditor.unwrap().finish()
+        judged(&self.text())
     }
 
     #[track_caller]
@@ -514,18 +518,8 @@
 #[test]
 fn more_attempts_than_allowed_second_copies_and_a_node_that_does_not_end_are_accused() {
     let ruled = |rules: &str, day: &History| {
-        let text = day.text().replacen("\"rules\":{", &format!("\"rules\":{{{rules},"), 1);
-        let mutant = MUTANT.get().0;
-        let mut auditor = None;
-        let read = history::read(text.as_bytes(), |number, mut line| match &mut auditor {
-            None => {
-                let rules = *line.rules.take().unwrap();
-                auditor = Some(mutant.map_or(Auditor::new(rules.clone()), |m| Auditor::mutant(rules, m)));
-            }
-            Some(auditor) => auditor.line(number, line),
-        });
-        read.unwrap();
-        auditor.unwrap().finish().findings.iter().map(|f| f.code).collect::<Vec<_>>()
+        let report = judged(&day.text().replacen("\"rules\":{", &format!("\"rules\":{{{rules},"), 1));
+        report.findings.iter().map(|f| f.code).collect::<Vec<_>>()
     };
     let is = |rules: &str, day: &History, codes: &[&str]| {
         let found = ruled(rules, day);
--- a/crates/stonevane-lab/src/fleet.rs
+++ b/crates/stonevane-lab/src/fleet.rs
@@ -385,7 +385,6 @@
             Act::Replace { server, successor } => {
                 // Its successor is a machine of its own, which starts cold when the old one wants nothing new.
                 let Some(number) = lock(&self.standby).remove(successor) else { return };
-                self.discovery.change(server, "leaving", None, self.late());
                 self.end_fault(successor, number);
                 self.drained(server, lasts).await;
                 self.begin(server, None, Fault::Dead);
