Add PostgreSQL as a store of record and a breaker before any store, with their stand-in

Need: a store that stops for seconds must not hold every request until its deadline, and the operators who run PostgreSQL need it behind the same contract.

Change: a driver by the published protocol (bounded pool, statement time-outs, cancel requests, one transaction for an edit and its idempotency record, no read from a copy that lags behind a receipt), a pure machine that keeps lost connections from coming back in step, a stand-in server by protocol v3 with faults by script, and the breaker in the daemon before SQLite and PostgreSQL. Off without [store].

Result: eight tests against the stand-in (lost commit, failover, races, 40001, 57P01, 57014, 53300, torn rows).

--- a/crates/stonevane-node/src/backends/store.rs
+++ b/crates/stonevane-node/src/backends/store.rs
@@ -1,20 +1,26 @@
-//! The store of record within the node, in the origin's place: a fetch or an edit is a call to SQLite. All fetches
-//! of a key that are out at once share one query, whoever of them leaves.
+//! The store of record in the origin's place: a fetch or an edit is a call to SQLite or PostgreSQL. All fetches of a
+//! key that are out at once share one query, whoever of them leaves. Before the store stands a breaker: when it stops
+//! answering, the decision module is told for how long calls are no use.
 
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use spardeal::{Effect, Status};
+use oorandom::Rand64;
+use spardeal::{Effect, Micros, Status};
 use stonevane_config::operator;
+use stonevane_store::breaker::{self, Breaker, State, Word};
 use stonevane_store::flight::{FlightId, Flights, Joined, JoinerId, Limits};
-use stonevane_store::sqlite::Options;
-use stonevane_store::{Edit, Sqlite, StoreError};
-use tokio::sync::oneshot;
+use stonevane_store::{Edit, Postgres, Sqlite, Store, StoreError, postgres, sqlite};
+use tokio::sync::{mpsc, oneshot};
 use tokio::task::AbortHandle;
+use tokio::time::timeout;
 
 use super::{Backend, Job, Life, Seat, cache};
+use crate::clock::log;
+use crate::hub::Input;
 use crate::reply::{News, Reply};
 use crate::request::Command;
 
@@ -30,6 +36,7 @@
     queries: AtomicU64,
     joined: AtomicU64,
     edits: AtomicU64,
+    stops: AtomicU64,
 }
 
 /// Fetches that are out, and those who wait for them.
@@ -40,27 +47,66 @@
     next: JoinerId,
 }
 
+/// The breaker, and what it needs: a clock and chance.
+struct Guard {
+    breaker: Breaker,
+    epoch: Instant,
+    chance: Rand64,
+}
+
 struct Inner {
-    store: Sqlite,
+    store: Box<dyn Store>,
+    /// A call that has no answer after this counts as none.
+    stall: Duration,
     sharing: Mutex<Sharing>,
+    guard: Mutex<Guard>,
     counts: Counts,
 }
 
 /// The store, shared by all its connections; a connection here is a place in the node's table, and no socket.
-pub struct Embedded(Arc<Inner>);
+pub struct Record(Arc<Inner>);
 
-impl Embedded {
-    /// Opens the file that the operator names.
+impl Record {
+    /// Opens the file that the operator names, or makes ready to call the server.
     ///
     /// # Errors
     /// Why it can't be used.
-    pub fn open(told: &operator::Store) -> Result<Embedded, StoreError> {
-        let options =
-            Options { readers: told.readers, queue: told.queue, busy: told.busy, ..Options::default() };
+    pub fn open(told: &operator::Store, seed: u64) -> Result<Record, StoreError> {
+        let store: Box<dyn Store> = match &told.place {
+            operator::Place::Sqlite { file, readers, busy } => {
+                let base = sqlite::Options::default();
+                let options = sqlite::Options { readers: *readers, queue: told.queue, busy: *busy, ..base };
+                Box::new(Sqlite::open(file, &options)?)
+            }
+            operator::Place::Postgres { url, connections } => {
+                let options = postgres::Options {
+                    connections: *connections,
+                    queue: told.queue,
+                    stall: told.stall,
+                    seed,
+                    ..postgres::Options::default()
+                };
+                Box::new(Postgres::new(url, options)?)
+            }
+        };
         let flights = Flights::new(Limits::default());
         let sharing = Sharing { flights, waiting: HashMap::new(), fetching: HashMap::new(), next: 1 };
-        let (store, sharing) = (Sqlite::open(&told.sqlite, &options)?, Mutex::new(sharing));
-        Ok(Embedded(Arc::new(Inner { store, sharing, counts: Counts::default() })))
+        let micros = |time: Duration| time.as_micros() as Micros;
+        let limits = breaker::Limits {
+            failures: told.failures,
+            shortest: micros(told.probe.0),
+            longest: micros(told.probe.1),
+            ..breaker::Limits::default()
+        };
+        let guard =
+            Guard { breaker: Breaker::new(limits), epoch: Instant::now(), chance: Rand64::new(seed.into()) };
+        Ok(Record(Arc::new(Inner {
+            store,
+            stall: told.stall,
+            sharing: Mutex::new(sharing),
+            guard: Mutex::new(guard),
+            counts: Counts::default(),
+        })))
     }
 
     /// What it has done, in a line for the log.
@@ -68,15 +114,16 @@
         let counts = &self.0.counts;
         let count = |count: &AtomicU64| count.load(Ordering::Relaxed);
         format!(
-            "store: {} queries, {} more fetches that shared one, {} edits",
+            "store: {} queries, {} more fetches that shared one, {} edits, stopped {} times",
             count(&counts.queries),
             count(&counts.joined),
-            count(&counts.edits)
+            count(&counts.edits),
+            count(&counts.stops)
         )
     }
 }
 
-impl Backend for Embedded {
+impl Backend for Record {
     fn connect(&self, seat: Seat) -> Life {
         let inner = self.0.clone();
         Box::pin(async move { carry(&inner, seat).await })
@@ -92,7 +139,7 @@
         let Some(job) = seat.jobs.recv().await else { return News::Lost { written: false } };
         let (status, value) = match job.command.write {
             true => edit(inner, &seat, job).await,
-            false => fetch(inner, &job.command).await,
+            false => fetch(inner, &seat, &job.command).await,
         };
         let load = cache::load("", &seat.deployment.load_names);
         news = News::Answer(Reply { status, note: cache::note(""), load, value, keep: true });
@@ -113,6 +160,81 @@
     String::from_utf8(bytes.to_vec()).map_err(|_| StoreError::Bounds("the key"))
 }
 
+// The breaker.
+
+/// A call that the breaker has let pass. Dropped with no word, it was given up; a probe then tells nothing.
+struct Passed {
+    inner: Arc<Inner>,
+    hub: mpsc::Sender<Input>,
+    probe: bool,
+}
+
+impl Drop for Passed {
+    fn drop(&mut self) {
+        if self.probe {
+            let mut guard = self.inner.guard();
+            let now = guard.now();
+            guard.breaker.abandoned(now);
+        }
+    }
+}
+
+impl Guard {
+    fn now(&self) -> Micros {
+        self.epoch.elapsed().as_micros() as Micros
+    }
+}
+
+impl Passed {
+    /// What the call's end says of the store; the decision module is told where that changes how it stands.
+    async fn ended<T>(mut self, result: &Result<T, StoreError>) {
+        self.probe = false;
+        let shut = {
+            let mut guard = self.inner.guard();
+            let (now, drawn, was) = (guard.now(), guard.chance.rand_float(), guard.breaker.state());
+            match result {
+                Err(e) if e.is_silence() => guard.breaker.failed(now, drawn),
+                _ => guard.breaker.answered(),
+            }
+            match (was, guard.breaker.state()) {
+                (State::Open { .. }, State::Open { .. }) | (State::Closed { .. }, State::Closed { .. }) => {
+                    None
+                }
+                (_, State::Open { until, .. }) => Some(until.saturating_sub(now)),
+                _ => Some(0),
+            }
+        };
+        let Some(lasts) = shut else { return };
+        match result {
+            Err(e) => {
+                self.inner.counts.stops.fetch_add(1, Ordering::Relaxed);
+                log(&format!("store: {e}; no call for {} ms", lasts / 1_000));
+            }
+            Ok(_) => log("store: it answers again"),
+        }
+        let _ = self.hub.send(Input::OriginShut(lasts)).await;
+    }
+}
+
+impl Inner {
+    fn guard(&self) -> MutexGuard<'_, Guard> {
+        self.guard.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Asks the breaker for one call.
+    fn pass(self: &Arc<Self>, hub: &mpsc::Sender<Input>) -> Result<Passed, StoreError> {
+        let word = {
+            let mut guard = self.guard();
+            let now = guard.now();
+            guard.breaker.call(now)
+        };
+        match word {
+            Word::Refuse { .. } => Err(StoreError::Stopped),
+            passes => Ok(Passed { inner: self.clone(), hub: hub.clone(), probe: passes == Word::Probe }),
+        }
+    }
+}
+
 // Fetches.
 
 /// One who waits. Dropped, it has left; the last one to leave ends the fetch.
@@ -139,7 +261,7 @@
     }
 
     /// Waits for the value of a key with all others that do.
-    async fn shared(self: &Arc<Self>, key: String) -> Fetched {
+    async fn shared(self: &Arc<Self>, key: String, hub: &mpsc::Sender<Input>) -> Fetched {
         let (tell, told) = oneshot::channel();
         let waiter = {
             let mut sharing = self.sharing();
@@ -150,7 +272,7 @@
                 Joined::Waits(_) => drop(self.counts.joined.fetch_add(1, Ordering::Relaxed)),
                 Joined::Begins(flight) => {
                     // A task of its own: whoever asked first may leave.
-                    let fetch = tokio::spawn(self.clone().fly(flight, key));
+                    let fetch = tokio::spawn(self.clone().fly(flight, key, hub.clone()));
                     sharing.fetching.insert(flight, fetch.abort_handle());
                 }
             }
@@ -163,10 +285,18 @@
     }
 
     /// Asks the store, and tells all who wait.
-    async fn fly(self: Arc<Self>, flight: FlightId, key: String) {
-        self.counts.queries.fetch_add(1, Ordering::Relaxed);
+    async fn fly(self: Arc<Self>, flight: FlightId, key: String, hub: mpsc::Sender<Input>) {
+        let zone = match self.pass(&hub) {
+            Ok(passed) => {
+                self.counts.queries.fetch_add(1, Ordering::Relaxed);
+                let zone =
+                    timeout(self.stall, self.store.get(&key)).await.unwrap_or(Err(StoreError::TimedOut));
+                passed.ended(&zone).await;
+                zone
+            }
+            Err(e) => Err(e),
+        };
         // A key that the store does not hold is an area with nothing in it: that is an answer, and no failure.
-        let zone = self.store.get(&key).await;
         let fetched: Fetched = zone.map(|zone| zone.map_or_else(Bytes::new, |zone| zone.value.into()));
         let mut sharing = self.sharing();
         sharing.fetching.remove(&flight);
@@ -179,9 +309,9 @@
     }
 }
 
-async fn fetch(inner: &Arc<Inner>, command: &Command) -> (Status, Option<Bytes>) {
+async fn fetch(inner: &Arc<Inner>, seat: &Seat, command: &Command) -> (Status, Option<Bytes>) {
     let fetched = match text(&command.key) {
-        Ok(key) => inner.shared(key).await,
+        Ok(key) => inner.shared(key, &seat.hub).await,
         Err(e) => Err(e),
     };
     match fetched {
@@ -214,20 +344,29 @@
     };
     let value = job.command.value.as_ref().map(|value| value.to_vec()).unwrap_or_default();
     let edit = Edit { key: key.clone(), value, token, remember_ms: window.max(REMEMBER_MS) };
+    let passed = match inner.pass(&seat.hub) {
+        Ok(passed) => passed,
+        Err(e) => return failed(&e, true),
+    };
     if !inner.sharing().flights.edit_begins(&key) {
         return failed(&StoreError::Busy, true);
     }
     inner.counts.edits.fetch_add(1, Ordering::Relaxed);
     let fence = Fence(inner.clone(), key);
+    let (tell, told) = oneshot::channel();
     // A task of its own: given up by the node it goes on all the same, and so must its fence.
-    let run = tokio::spawn(async move {
+    tokio::spawn(async move {
         let done = fence.0.store.edit(edit).await;
         drop(fence);
-        done
+        let _ = tell.send(done);
     });
-    match run.await {
-        Ok(Ok(receipt)) => (Status::Served, Some(receipt.version.to_string().into())),
-        Ok(Err(e)) => failed(&e, true),
-        Err(_) => (Status::Error, None),
+    let done = match timeout(inner.stall, told).await {
+        Ok(done) => done.unwrap_or(Err(StoreError::Closed)),
+        Err(_) => Err(StoreError::TimedOut),
+    };
+    passed.ended(&done).await;
+    match done {
+        Ok(receipt) => (Status::Served, Some(receipt.version.to_string().into())),
+        Err(e) => failed(&e, true),
     }
 }
--- a/crates/stonevane-node/src/hub.rs
+++ b/crates/stonevane-node/src/hub.rs
@@ -1,5 +1,7 @@
 //! What reaches the node's loop, from fronts, backends, discovery and signals.
 
+use spardeal::Micros;
+
 use crate::config::Config;
 use crate::list::{Era, Listing};
 use crate::reply::{ConnId, News};
@@ -18,6 +20,8 @@
     List(Era, Listing),
     /// A call to discovery failed, or the watch broke.
     ListFailed(Era),
+    /// The store in the origin's place has stopped: no call to it is any use for so long; 0: it answers again.
+    OriginShut(Micros),
     /// The table of sockets is full, and a client wants a place.
     Crowded,
     /// The configuration was read anew.
--- a/crates/stonevane-node/src/lib.rs
+++ b/crates/stonevane-node/src/lib.rs
@@ -25,7 +25,7 @@
 use tokio::sync::{Notify, Semaphore, mpsc, watch};
 
 use backends::Backend;
-use backends::store::Embedded;
+use backends::store::Record;
 use clock::{Clock, log};
 use config::Config;
 use fronts::Front;
@@ -41,7 +41,7 @@
 /// Sockets kept back for the listener, discovery and the runtime, and for those just being closed.
 const RESERVE: usize = 16;
 
-async fn run(config: Config, store: Option<Arc<Embedded>>) -> std::io::Result<()> {
+async fn run(config: Config, store: Option<Arc<Record>>) -> std::io::Result<()> {
     let (hub, inputs) = mpsc::channel(INPUTS);
     let (phase_set, phase) = watch::channel(Phase::Starting);
     let clock = Clock::start();
@@ -145,11 +145,11 @@
             return ExitCode::from(2);
         }
     };
-    let store = match config.operator.store.as_ref().map(|told| (told, Embedded::open(told))) {
+    let store = match config.operator.store.as_ref().map(|told| (told, Record::open(told, config.seed))) {
         None => None,
         Some((_, Ok(store))) => Some(Arc::new(store)),
         Some((told, Err(e))) => {
-            log(&format!("the store {}: {e}", told.sqlite.display()));
+            log(&format!("the store {}: {e}", told.place));
             return ExitCode::from(2);
         }
     };
--- a/crates/stonevane-node/src/node.rs
+++ b/crates/stonevane-node/src/node.rs
@@ -195,6 +195,7 @@
             // Against what the discovery before the present one still had under way: its versions and its view
             // are no longer in force.
             Input::List(era, _) | Input::ListFailed(era) if !self.discovery.present(era) => {}
+            Input::OriginShut(lasts) => self.tell(Event::OriginShut { lasts }),
             Input::Crowded => self.pool.drop_one_idle(),
             Input::Reload(config) => self.reload(&config),
             Input::List(_, listing) => self.list(listing, None),
--- a/crates/stonevane-standin/src/lib.rs
+++ b/crates/stonevane-standin/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod discovery;
 pub mod origin;
 pub mod peers;
+pub mod postgres;
 pub mod record;
 pub mod relay;
 mod server;
--- a/crates/stonevane-store/src/contract.rs
+++ b/crates/stonevane-store/src/contract.rs
@@ -1,6 +1,24 @@
 //! What a store of record does, and how it fails.
 
 use std::fmt;
+use std::future::Future;
+use std::pin::Pin;
+
+/// A call to a store, under way.
+pub type Call<'a, T> = Pin<Box<dyn Future<Output = Result<T, StoreError>> + Send + 'a>>;
+
+/// What every store of record does. Dropping a call gives it up: an edit that was begun may be done all the same.
+pub trait Store: Send + Sync {
+    /// What the store holds for a key.
+    fn get<'a>(&'a self, key: &'a str) -> Call<'a, Option<Zone>>;
+
+    /// Carries an edit out, once for its idempotency key; the receipt comes after the commit.
+    /// [`StoreError::proves_not_done`] tells whether one that failed may be sent again.
+    fn edit(&self, edit: Edit) -> Call<'_, Receipt>;
+
+    /// What changed after a version, the oldest first, so many at the most.
+    fn changes(&self, after: u64, most: usize) -> Call<'_, Vec<Change>>;
+}
 
 /// The longest key, in bytes; keys are UTF-8 with no control characters.
 pub const MAX_KEY: usize = 512;
@@ -75,6 +93,14 @@
     Foreign,
     /// An idempotency key was used for another edit.
     Conflict,
+    /// It has stopped answering, and this call was not made: nothing was done.
+    Stopped,
+    /// No answer came in time; whether an edit was done is not known.
+    TimedOut,
+    /// No connection to it came about: nothing was done.
+    Unreachable,
+    /// What answered is a copy that lags behind what this program has receipts for; nothing was done.
+    Behind,
     /// The store has ended, and whether the edit was done is not known.
     Closed,
     /// Anything else that the system said.
@@ -84,7 +110,16 @@
 impl StoreError {
     /// Whether an edit that ended so has surely not been done.
     pub fn proves_not_done(&self) -> bool {
-        !matches!(self, StoreError::Closed | StoreError::Io(_) | StoreError::Corrupt(_))
+        use StoreError::{Closed, Corrupt, Io, TimedOut};
+        !matches!(self, Closed | TimedOut | Io(_) | Corrupt(_))
+    }
+
+    /// Whether this is a sign that the store has stopped: it gave no answer, where others are answers.
+    pub fn is_silence(&self) -> bool {
+        matches!(
+            self,
+            StoreError::TimedOut | StoreError::Closed | StoreError::Unreachable | StoreError::Behind
+        )
     }
 }
 
@@ -103,6 +138,10 @@
             }
             StoreError::Foreign => write!(f, "the file is not a store of this program; not touched"),
             StoreError::Conflict => write!(f, "the idempotency key was used for another edit"),
+            StoreError::Stopped => write!(f, "the store has stopped answering"),
+            StoreError::TimedOut => write!(f, "the store gave no answer in time"),
+            StoreError::Unreachable => write!(f, "the store can't be reached"),
+            StoreError::Behind => write!(f, "the store is a copy that lags behind its own receipts"),
             StoreError::Closed => write!(f, "the store has ended"),
             StoreError::Io(what) => write!(f, "{what}"),
         }
--- /dev/null
+++ b/crates/stonevane-store/tests/postgres.rs
@@ -0,0 +1,214 @@
+//! PostgreSQL as the store of record, against the stand-in: what is asked of it, and the ways in which it fails.
+#![allow(missing_docs)]
+
+use std::net::{IpAddr, Ipv4Addr};
+use std::sync::Arc;
+use std::time::Duration;
+
+use stonevane_standin::postgres::{PgFault, Postgres as Server};
+use stonevane_store::postgres::Options;
+use stonevane_store::{Change, Edit, Postgres, Receipt, Store, StoreError};
+use tokio::time::{Instant, timeout};
+
+async fn server() -> Arc<Server> {
+    Server::start(IpAddr::V4(Ipv4Addr::LOCALHOST)).await.unwrap()
+}
+
+fn node(server: &Server) -> Postgres {
+    let options = Options { stall: Duration::from_millis(300), ..Options::default() };
+    Postgres::new(&server.url(), options).unwrap()
+}
+
+fn edit(key: &str, value: &str, token: Option<&str>) -> Edit {
+    Edit { key: key.into(), value: value.into(), token: token.map(Into::into), remember_ms: 60_000 }
+}
+
+async fn value(node: &Postgres, key: &str) -> Result<Option<(Vec<u8>, u64)>, StoreError> {
+    Ok(node.get(key).await?.map(|zone| (zone.value, zone.version)))
+}
+
+#[tokio::test]
+async fn what_is_edited_is_there_a_repeat_is_given_the_first_receipt_and_changes_come_in_order() {
+    let server = server().await;
+    let (one, other) = (node(&server), node(&server));
+    assert_eq!(value(&one, "a").await, Ok(None));
+    let first = Receipt { version: 1, repeat: false };
+    assert_eq!(one.edit(edit("a", "one", Some("t"))).await, Ok(first));
+    assert_eq!(
+        other.edit(edit("a", "one", Some("t"))).await,
+        Ok(Receipt { repeat: true, ..first }),
+        "any node"
+    );
+    assert_eq!(other.edit(edit("a", "two", Some("t"))).await, Err(StoreError::Conflict));
+    assert_eq!(other.edit(edit("b", "\u{0}\u{ff}", None)).await, Ok(Receipt { version: 2, repeat: false }));
+    assert_eq!(one.edit(edit("a", "three", None)).await.unwrap().version, 3);
+    assert_eq!(value(&other, "a").await, Ok(Some((b"three".to_vec(), 3))));
+    assert_eq!(value(&one, "b").await.unwrap().unwrap().0, "\u{0}\u{ff}".as_bytes());
+    let change = |key: &str, version| Change { key: key.into(), version };
+    assert_eq!(one.changes(1, 10).await, Ok(vec![change("b", 2), change("a", 3)]));
+    assert_eq!(one.changes(0, 1).await, Ok(vec![change("b", 2)]));
+    assert!(matches!(one.get("").await, Err(StoreError::Bounds(_))));
+}
+
+#[tokio::test]
+async fn nodes_that_start_together_make_the_schema_once_and_a_newer_one_is_not_touched() {
+    let server = server().await;
+    let nodes: Vec<_> = (0..6).map(|_| Arc::new(node(&server))).collect();
+    let mut asks = tokio::task::JoinSet::new();
+    for node in nodes {
+        asks.spawn(async move { value(&node, "a").await });
+    }
+    while let Some(asked) = asks.join_next().await {
+        assert_eq!(asked.unwrap(), Ok(None));
+    }
+    let fresh = node(&server);
+    fresh.edit(edit("a", "one", None)).await.unwrap();
+    let other = tokio_postgres::connect(&server.url(), tokio_postgres::NoTls).await.unwrap();
+    tokio::spawn(other.1);
+    other.0.batch_execute("BEGIN; UPDATE stonevane SET form = 99 WHERE id = 1; COMMIT").await.unwrap();
+    let newer = value(&node(&server), "a").await;
+    assert_eq!(newer, Err(StoreError::Newer { found: 99, known: 1 }));
+}
+
+#[tokio::test]
+async fn a_commit_whose_answer_is_lost_is_done_once_and_the_repeat_on_another_node_has_its_receipt() {
+    let server = server().await;
+    let (one, other) = (node(&server), node(&server));
+    one.edit(edit("a", "zero", None)).await.unwrap();
+    server.fault(PgFault::CommitLost);
+    let lost = one.edit(edit("a", "one", Some("t"))).await.unwrap_err();
+    assert!(!lost.proves_not_done(), "it was done: {lost}");
+    server.fault(PgFault::None);
+    let receipt = other.edit(edit("a", "one", Some("t"))).await;
+    assert_eq!(receipt, Ok(Receipt { version: 2, repeat: true }));
+    assert_eq!(value(&one, "a").await, Ok(Some((b"one".to_vec(), 2))));
+}
+
+#[tokio::test]
+async fn what_fails_before_its_commit_has_surely_not_been_done() {
+    let server = server().await;
+    let node = node(&server);
+    node.edit(edit("a", "one", None)).await.unwrap();
+    for (fault, wanted) in [
+        (PgFault::Serialization, StoreError::Busy),
+        (PgFault::Slow(2_000), StoreError::Busy),
+        (PgFault::Shutdown, StoreError::Unreachable),
+        (PgFault::Refuse, StoreError::Unreachable),
+    ] {
+        server.fault(fault);
+        let failed = timeout(Duration::from_secs(5), node.edit(edit("a", "two", Some("t")))).await;
+        let failed = failed.expect("in time").unwrap_err();
+        assert_eq!((&failed, failed.proves_not_done()), (&wanted, true), "{fault:?}");
+        server.fault(PgFault::None);
+        let again = async {
+            while value(&node, "a").await.is_err() {}
+            value(&node, "a").await
+        };
+        let found = timeout(Duration::from_secs(5), again).await.expect("it comes back");
+        assert_eq!(found, Ok(Some((b"one".to_vec(), 1))), "{fault:?}");
+    }
+    server.fault(PgFault::MidRow);
+    let torn = value(&node, "a").await.unwrap_err();
+    assert!(torn.is_silence(), "{torn}");
+    server.fault(PgFault::TooMany);
+    assert_eq!(value(&node, "a").await, Err(StoreError::Unreachable), "it has no place for a new connection");
+}
+
+#[tokio::test]
+async fn edits_of_one_key_that_race_on_two_nodes_are_one_after_the_other() {
+    let server = server().await;
+    let nodes = [Arc::new(node(&server)), Arc::new(node(&server))];
+    nodes[0].edit(edit("a", "start", None)).await.unwrap();
+    let mut edits = tokio::task::JoinSet::new();
+    for n in 0..40 {
+        let node = nodes[n % 2].clone();
+        edits.spawn(async move {
+            let value = format!("v{n}");
+            (node.edit(edit("a", &value, Some(&format!("t{}", n / 2)))).await, value)
+        });
+    }
+    let (mut versions, mut last) = (Vec::new(), (0, String::new()));
+    while let Some(done) = edits.join_next().await {
+        // Each idempotency key is used twice, for two values: one of them wins, whichever comes first.
+        if let (Ok(receipt), value) = done.unwrap() {
+            assert!(!receipt.repeat);
+            versions.push(receipt.version);
+            last = last.max((receipt.version, value));
+        }
+    }
+    versions.sort_unstable();
+    assert_eq!(versions, (2..22).collect::<Vec<_>>(), "twenty keys, twenty versions, none twice");
+    assert_eq!(value(&nodes[0], "a").await, Ok(Some((last.1.into_bytes(), 21))));
+}
+
+#[tokio::test]
+async fn a_copy_that_lags_behind_a_receipt_is_not_read_from() {
+    let server = server().await;
+    let node = node(&server);
+    node.edit(edit("a", "old", None)).await.unwrap();
+    server.copy().unwrap();
+    node.edit(edit("a", "new", None)).await.unwrap();
+    assert_eq!(value(&node, "a").await, Ok(Some((b"new".to_vec(), 2))));
+    server.fail_over().unwrap();
+    server.fault(PgFault::None);
+    let end = Instant::now() + Duration::from_secs(5);
+    loop {
+        let found = value(&node, "a").await;
+        assert!(found.is_err(), "an older value than its own receipt: {found:?}");
+        if found == Err(StoreError::Behind) {
+            break;
+        }
+        assert!(Instant::now() < end, "{found:?}");
+    }
+}
+
+#[tokio::test]
+async fn connections_that_are_all_lost_at_once_do_not_come_back_as_a_storm() {
+    let server = server().await;
+    let node =
+        Arc::new(Postgres::new(&server.url(), Options { connections: 16, ..Options::default() }).unwrap());
+    let mut asks = tokio::task::JoinSet::new();
+    for _ in 0..16 {
+        let node = node.clone();
+        asks.spawn(async move { value(&node, "a").await });
+    }
+    while let Some(asked) = asks.join_next().await {
+        asked.unwrap().unwrap();
+    }
+    server.fault(PgFault::Shutdown);
+    let before = server.counts().connections;
+    let end = Instant::now() + Duration::from_millis(600);
+    for _ in 0..16 {
+        let node = node.clone();
+        asks.spawn(async move {
+            while Instant::now() < end {
+                let _ = timeout(Duration::from_millis(50), value(&node, "a")).await;
+            }
+            Ok(None)
+        });
+    }
+    while asks.join_next().await.is_some() {}
+    let tries = server.counts().connections - before;
+    assert!((1..=12).contains(&tries), "{tries} tries in 600 ms from 16 callers");
+    server.fault(PgFault::None);
+    let found = timeout(Duration::from_secs(2), async { while value(&node, "a").await.is_err() {} }).await;
+    assert!(found.is_ok(), "back within two seconds");
+}
+
+#[tokio::test]
+async fn a_call_that_is_given_up_is_cancelled_at_the_server_and_its_connection_is_not_used_again() {
+    let server = server().await;
+    let node = node(&server);
+    node.edit(edit("a", "one", None)).await.unwrap();
+    let before = server.counts();
+    server.fault(PgFault::Slow(10_000));
+    assert!(timeout(Duration::from_millis(50), node.get("a")).await.is_err());
+    let end = Instant::now() + Duration::from_secs(5);
+    while server.counts().cancels == before.cancels {
+        assert!(Instant::now() < end, "no cancel request came");
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    server.fault(PgFault::None);
+    assert_eq!(value(&node, "a").await, Ok(Some((b"one".to_vec(), 1))));
+    assert!(server.counts().connections > before.connections + 1, "the cancel's, and a new one");
+}
