Let the gate's outstanding cap grow with a balancer's share

Checked: nodes' logs (no server set aside for long, the gate seldom lowered), CPU and sockets (far from their limits), time within the node (p99 131 ms to the first attempt, all of it waits). At fault: the fixed ceiling of 20 outstanding calls (GATE_OUT); about 1,000 requests a second of a node's own need some 35 at once, and what the cap holds up waits past its aim.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -17,8 +17,9 @@
 const FULL: f64 = 0.5;
 /// Answers that a server is credited with before any were seen: a few in flight at an idle one pass.
 const PRIOR: f64 = 2.0;
-/// Gate: outstanding origin calls of one balancer at most; it starts from half, the note's default.
-const GATE_OUT: f64 = 20.0;
+/// Gate: outstanding origin calls of one balancer at most, and at most for each request a second that is its
+/// share, whichever is more; it starts from half, the note's default.
+const GATE_OUT: (f64, f64) = (20.0, 0.06);
 /// Gate: calls a second, as a part of this balancer's share; at the least the note's.
 const GATE_RATE: (f64, f64) = (1.0, 30.0);
 /// Gate: its window as a part of the longest aim, short enough that what bursts over it can still wait.
@@ -77,12 +78,12 @@
             crowded: f64::from(settings.balancers) * settings.connection_price
                 > 100.0 * settings.handshake_price,
             repeats: REPEATS.1,
-            // Calls of an earlier life of this balancer may still run: the gate opens gradually.
-            gate: Gate { limit: GATE_OUT / 2.0, ..Gate::default() },
             quota_share,
             settings,
             ..Policy::default()
         };
+        // Calls of an earlier life of this balancer may still run: the gate opens gradually.
+        policy.gate.limit = policy.gate_out() / 2.0;
         policy.wake(0, Wake::Subscribe);
         policy.wake(0, Wake::Review);
         policy
@@ -295,6 +296,12 @@
         }
     }
 
+    /// The ceiling of the outstanding cap. Against a rate at which the note's default, reached in an ordinary
+    /// second, holds up what the origin has room for (Little's law).
+    fn gate_out(&self) -> f64 {
+        (self.share() * GATE_OUT.1).max(GATE_OUT.0)
+    }
+
     /// Whether the outstanding cap and the windowed tally let one more call through.
     fn gate_open(&mut self, call: Call) -> bool {
         let window = self.aim as f64 * GATE_WINDOW;
@@ -512,22 +519,23 @@
         if flight.call == Call::Joined {
             return; // The call that it shared tells it.
         }
+        let most = self.gate_out();
         let slow = self.now - flight.sent > (self.origin_aim as f64 * ORIGIN_SLOW) as Micros;
         let g = &mut self.gate;
         g.leave(flight.call);
         let was = g.limit;
         // What it answered can't be read, but it answered: no sign of congestion. Nor is a broken connection.
         if matches!(o.status, Status::Served | Status::Spoilt) && !slow {
-            g.limit = (g.limit + 1.0 / g.limit).min(GATE_OUT);
+            g.limit = (g.limit + 1.0 / g.limit).min(most);
         } else if (o.status != Status::Reset || slow)
             && o.status != Status::NotSent
             && flight.sent >= g.cut_at
         {
             // One cut for all calls that were out together.
             g.cut_at = self.now;
-            g.limit = (g.limit * GATE_CUT.0).max(GATE_OUT * GATE_CUT.1);
+            g.limit = (g.limit * GATE_CUT.0).max(most * GATE_CUT.1);
         }
-        log_crossing(out, was, g.limit, GATE_OUT / 4.0, "gate lowered: origin slow", "gate restored");
+        log_crossing(out, was, g.limit, most / 4.0, "gate lowered: origin slow", "gate restored");
     }
 
     /// A server that fails several times in a row, with no answer between, is set aside for a while.
