Fill and void caches by the store's versions, and let the lab witness the store of record

Need: with the store in the origin's place no cache was filled, and none dropped its copy after an edit, so that edited areas stayed old; and nothing outside the node could tell what the store had done.

Change: a pure machine of the copies that are to go (told again until acknowledged, the cache's process is gone or the copy's lifetime has passed), OBJ.FILL and OBJ.VOID by version, edit_visibility = store or placement; the PostgreSQL stand-in writes each commit into the history, and the auditor judges answers from the store, receipts, edits done twice and stale reads by it (two judgements more, each left out in turn and missed). Scenarios store-stampede, -stall, -kill.

Off without [store].

--- a/crates/stonevane-audit/src/auditor.rs
+++ b/crates/stonevane-audit/src/auditor.rs
@@ -23,6 +23,8 @@
 const MOST_ENDS: usize = 8;
 /// Idempotency keys that are held for a server, at most.
 const MOST_KEYS: usize = 4_096;
+/// Versions of a key in the store that are held, at most, and idempotency keys.
+const MOST_STORED: (usize, usize) = (256, 65_536);
 
 /// A line and its number.
 type Seen = (usize, Rc<Line>);
@@ -162,6 +164,10 @@
     made: HashMap<String, String>,
     /// The newest version of a key that a client has its receipt for: when at the latest, and the line.
     edited: HashMap<String, Vec<(u64, u64, Seen)>>,
+    /// What the store of record has committed: by key, the newest last, and by idempotency key.
+    stored: HashMap<String, VecDeque<Seen>>,
+    committed: HashMap<String, Seen>,
+    committed_order: VecDeque<String>,
     tokens: HashMap<String, (u64, HashSet<String>)>,
     token_due: VecDeque<(u64, String)>,
     servers: HashMap<String, Server>,
@@ -175,7 +181,7 @@
 
 impl Auditor {
     /// Each judgement, by the code of what it accuses of or, after `excuse-`, what it excuses.
-    pub const JUDGEMENTS: [&'static str; 35] = [
+    pub const JUDGEMENTS: [&'static str; 37] = [
         "twice",
         "stray",
         "late",
@@ -185,6 +191,8 @@
         "crashed",
         "crashed-after-term",
         "value",
+        "store-value",
+        "edit-twice",
         "stale",
         "sent-after-answer",
         "refused-after-run",
@@ -233,6 +241,9 @@
             due: BinaryHeap::new(),
             made: HashMap::new(),
             edited: HashMap::new(),
+            stored: HashMap::new(),
+            committed: HashMap::new(),
+            committed_order: VecDeque::new(),
             tokens: HashMap::new(),
             token_due: VecDeque::new(),
             servers: HashMap::new(),
@@ -301,6 +312,7 @@
                 note(self.told.entry(key).or_default(), seen);
             }
             Event::Node => self.node(seen),
+            Event::Stored => self.stored(seen),
             Event::End => self.ended = true,
         }
     }
@@ -377,26 +389,68 @@
         }
     }
 
+    /// A version was committed by the store of record; its idempotency key has not been before.
+    fn stored(&mut self, seen: Seen) {
+        let line = &seen.1;
+        let versions = self.stored.entry(line.key.clone()).or_default();
+        versions.push_back(seen.clone());
+        if versions.len() > MOST_STORED.0 {
+            versions.pop_front();
+        }
+        if line.token.is_empty() {
+            return;
+        }
+        let token = line.token.clone();
+        if let Some(before) = self.committed.insert(token.clone(), seen.clone()) {
+            let what =
+                format!("the edit {token} was carried out twice: {} and {}", before.1.version, line.version);
+            return self.accuse(Rule::Once, "edit-twice", "", what, &[before, seen]);
+        }
+        self.committed_order.push_back(token);
+        if self.committed_order.len() > MOST_STORED.1
+            && let Some(oldest) = self.committed_order.pop_front()
+        {
+            self.committed.remove(&oldest);
+        }
+    }
+
+    /// The version that an answer from the store of record shows; `None` where the store has not made it by then.
+    fn of_store(&self, kind: &ClassRule, ask: &Line, answer: &Line) -> Option<u64> {
+        let in_time = |(_, commit): &&Seen| commit.t.begun <= answer.t.ended;
+        if kind.kind != Kind::Safe {
+            let (_, commit) = self.committed.get(&ask.token).filter(in_time)?;
+            let own = commit.key == ask.key && commit.version.to_string() == answer.value;
+            return own.then_some(commit.version);
+        }
+        // An area that was never edited is empty.
+        let empty = answer.value.is_empty().then_some(0);
+        let versions = self.stored.get(&ask.key).into_iter().flatten().rev();
+        let shown = versions.filter(in_time).find(|(_, commit)| commit.value == answer.value);
+        shown.map(|(_, commit)| commit.version).or(empty)
+    }
+
     fn served(&mut self, name: &str, kind: &ClassRule, seen: Seen) {
         let request = &self.requests[name];
         let ask = request.asks.first().cloned();
         let made = |r: &&Seen| r.1.value == seen.1.value && !r.1.value.is_empty();
-        let made = request.replies.iter().find(made).cloned();
-        let Some((_, reply)) = made else {
+        let made = request.replies.iter().find(made).map(|(_, reply)| reply.version);
+        let of_store = || ask.as_ref().and_then(|(_, ask)| self.of_store(kind, ask, &seen.1));
+        let Some(version) = made.or_else(|| if self.rules.store { of_store() } else { None }) else {
+            let judgement = if self.rules.store { "store-value" } else { "value" };
             let what = match self.made.get(&seen.1.value) {
                 Some(other) => format!("served with the value made for request {other}"),
                 None => "served with a value that no server made".to_owned(),
             };
             let mut lines = request.replies.clone();
             lines.push(seen);
-            return self.accuse(Rule::Answered, "value", name, what, &lines);
+            return self.accuse_by(judgement, Rule::Answered, "value", name, what, &lines);
         };
-        let version = reply.version;
         let Some((_, ask)) = ask else { return };
         if kind.kind == Kind::Safe {
             // An edit whose receipt its client had before this was asked must show.
             let newer = self.edited.get(&ask.key).into_iter().flatten();
-            let newer = newer.filter(|(at, new, _)| *at < ask.t.begun && *new > version).max_by_key(|e| e.1);
+            let shows = ask.t.begun.saturating_sub(self.rules.visible_us);
+            let newer = newer.filter(|(at, new, _)| *at < shows && *new > version).max_by_key(|e| e.1);
             if let Some((_, new, edit)) = newer.cloned() {
                 let what = format!("served version {version} of a key that was at {new} before it was asked");
                 self.accuse(Rule::Answered, "stale", name, what, &[edit, seen]);
--- a/crates/stonevane-audit/src/history.rs
+++ b/crates/stonevane-audit/src/history.rs
@@ -76,6 +76,8 @@
     /// `crashed` where it exited with another code than 0 after SIGTERM. From `killed` or `exited` on until it is
     /// `ready` again there is no process that could take a request.
     Node,
+    /// The store of record has committed a version of a key: `key`, `version`, `value` and, of a keyed edit, `token`.
+    Stored,
     /// A fault was put in or taken away.
     Fault,
     /// The last line.
--- a/crates/stonevane-audit/src/rules.rs
+++ b/crates/stonevane-audit/src/rules.rs
@@ -93,6 +93,11 @@
     pub classes: Vec<ClassRule>,
     /// The origin's budget.
     pub origin: OriginRule,
+    /// Whether a store of record is in the origin's place, whose commits stand in the history: what it holds may be
+    /// served to all who ask, and an edit's receipt is its version.
+    pub store: bool,
+    /// An edit shows in every answer to what is asked later than this after its receipt.
+    pub visible_us: u64,
 }
 
 impl Default for Rules {
@@ -111,6 +116,8 @@
             second_copies: true,
             classes: Vec::new(),
             origin: OriginRule::default(),
+            store: false,
+            visible_us: 0,
         }
     }
 }
--- a/crates/stonevane-audit/tests/table.rs
+++ b/crates/stonevane-audit/tests/table.rs
@@ -226,6 +226,56 @@
     read(edit(0), 0).is(&[]);
 }
 
+#[test]
+fn what_a_store_of_record_has_committed_may_be_served_and_nothing_else_and_no_edit_is_carried_out_twice() {
+    let rules = |day: &History, more: &str| {
+        let text = day.text().replacen(r#""rules":{"#, &format!(r#""rules":{{"store":true,{more}"#), 1);
+        judged(&text)
+    };
+    let codes = |day: &History, more: &str, wanted: &[&str]| {
+        let report = rules(day, more);
+        let found: Vec<_> = report.findings.iter().map(|finding| finding.code).collect();
+        if MUTANT.get().0.is_none() {
+            assert_eq!(found, wanted, "{report}");
+        } else if found != wanted {
+            MUTANT.set((MUTANT.get().0, true));
+        }
+    };
+    let stored = |day: History, t: u64, version: u64, value: &str, token: &str| {
+        day.at(
+            t,
+            &format!(r#""event":"stored","key":"k","version":{version},"value":"{value}","token":"{token}""#),
+        )
+    };
+    let edit = |day: History, t: u64, receipt: &str| {
+        let until = t + 1_000 * MS;
+        let ask = format!(
+            r#""event":"ask","request":"e","node":"n0","class":"edit","key":"k","until":{until},"token":"t""#
+        );
+        day.at(t, &ask).served(t + 100, "e", receipt)
+    };
+    let read = |day: History, t: u64, value: &str| day.ask(t, "r", "read").served(t + 100, "r", value);
+    let two = || stored(stored(History::new(), 10, 1, "one", ""), 50, 2, "two", "t");
+    // Both versions are right while the edit is under way, and for two who ask at once.
+    codes(&read(edit(two(), 20, "2"), 30, "one"), "", &[]);
+    codes(&read(edit(two(), 20, "2"), 30, "two"), "", &[]);
+    // After its receipt only the newer one is, or later than the rule says.
+    codes(&read(edit(two(), 20, "2"), 121, "one"), "", &["stale"]);
+    codes(&read(edit(two(), 20, "2"), 121, "two"), "", &[]);
+    codes(&read(edit(two(), 20, "2"), 121, "one"), r#""visible_us":5,"#, &[]);
+    codes(&read(edit(two(), 20, "2"), 126, "one"), r#""visible_us":5,"#, &["stale"]);
+    // What was never committed, what is committed only later, and a receipt of nobody's.
+    codes(&read(two(), 60, "other"), "", &["value"]);
+    codes(&read(stored(History::new(), 500, 1, "one", ""), 60, "one"), "", &["value"]);
+    codes(&edit(two(), 20, "1"), "", &["value"]);
+    codes(&edit(History::new(), 20, "2"), "", &["value"]);
+    // An area that was never edited is empty.
+    codes(&read(History::new(), 60, ""), "", &[]);
+    codes(&read(edit(two(), 20, "2"), 121, ""), "", &["stale"]);
+    codes(&stored(two(), 70, 3, "two", "t"), "", &["edit-twice"]);
+    codes(&stored(two(), 70, 3, "two", "u"), "", &[]);
+}
+
 #[test]
 fn rule_1_nothing_goes_out_after_the_final_answer() {
     let late =
@@ -609,12 +659,13 @@
 
 #[test]
 fn a_judgement_that_is_left_out_is_missed_by_these_tests() {
-    let tests: [fn(); 14] = [
+    let tests: [fn(); 15] = [
         rule_1_an_answer_twice_late_or_never_is_accused,
         rule_1_one_microsecond_inside_each_bound_and_clients_that_left_are_honest,
         rule_1_a_close_that_crosses_a_request_is_honest_and_one_after_reading_it_is_not,
         rule_1_a_value_of_another_request_or_none_or_an_old_one_is_accused,
         rule_1_nothing_goes_out_after_the_final_answer,
+        what_a_store_of_record_has_committed_may_be_served_and_nothing_else_and_no_edit_is_carried_out_twice,
         rule_2_an_unsafe_request_runs_once,
         rule_2_a_keyed_request_goes_again_within_its_window_and_its_group,
         rule_3_nothing_new_after_the_grace_of_a_drain,
--- a/crates/stonevane-config/src/operator.rs
+++ b/crates/stonevane-config/src/operator.rs
@@ -101,6 +101,15 @@
     }
 }
 
+/// Copies at caches that take fills and voids from nodes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Copies {
+    /// A cache keeps a copy no longer than this.
+    pub lifetime: Duration,
+    /// Whether an edit's receipt waits until no cache of the placement holds an older copy.
+    pub before_receipt: bool,
+}
+
 /// The store of record, in the place of the origin; owned by its backend.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Store {
@@ -114,6 +123,8 @@
     pub failures: u32,
     /// ... this long at first, and up to the second while it stays silent.
     pub probe: (Duration, Duration),
+    /// Where caches take copies from nodes; `None`: nodes tell them nothing.
+    pub copies: Option<Copies>,
 }
 
 impl Store {
@@ -148,7 +159,16 @@
             let what = format!("`probe_ms` is to be at most `probe_most_ms`, {}", probe.1.as_millis());
             table.fault(table.place_of("probe_ms"), what);
         }
+        let fills = table.flag("fills", false);
+        let words = [("store", false), ("placement", true)];
+        let before_receipt = table.one_of("edit_visibility", &words).unwrap_or(false);
+        let lifetime = ms("copy_ms", 10_000, 86_400_000);
+        if before_receipt && !fills {
+            let what = "`edit_visibility = \"placement\"` goes with `fills = true`";
+            table.fault(table.place_of("edit_visibility"), what);
+        }
         Store {
+            copies: fills.then_some(Copies { lifetime, before_receipt }),
             place: match url.is_empty() {
                 true => Place::Sqlite { file: sqlite.into(), readers: readers as usize, busy },
                 false => Place::Postgres { url, connections: connections as usize },
--- a/crates/stonevane-lab/src/fleet.rs
+++ b/crates/stonevane-lab/src/fleet.rs
@@ -14,13 +14,15 @@
 use stonevane_standin::discovery::{Discovery, Entry, Trouble};
 use stonevane_standin::origin::{Origin, OriginSpec};
 use stonevane_standin::peers::{PeerNet, Weather};
+use stonevane_standin::postgres::{PgFault, Postgres};
 use stonevane_standin::{Fault, Mono, Recorder, lock};
+use stonevane_store::{Edit, Store};
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
 
 use crate::crooked::Little;
 use crate::faults::Faults;
-use crate::nodes::{Kind, Node, NotReady, ping};
-use crate::scenario::{Act, Scenario, Step, cache_name, node_name};
+use crate::nodes::{Kind, Node, NotReady, Program, ping};
+use crate::scenario::{Act, Scenario, Step, StoreSpec, cache_name, node_name};
 use crate::table::{Life, State, Table};
 
 /// How long a keyed write's repeats are dropped, microseconds.
@@ -94,6 +96,8 @@
     pub caches: Vec<Arc<Cache>>,
     /// The origin.
     pub origin: Arc<Origin>,
+    /// What stands in the origin's place, where something does.
+    pub store: Option<Arc<Postgres>>,
     /// Discovery.
     pub discovery: Arc<Discovery>,
     /// The datagram network between nodes.
@@ -131,6 +135,8 @@
             fall_us: origin.fall_us,
             ..OriginRule::default()
         },
+        store: scenario.store.is_some(),
+        visible_us: scenario.store.as_ref().filter(|store| !store.placement).map_or(0, |s| s.copy_ms * 1_000),
         exit_us: EXIT_US,
         max_attempts: scenario.max_attempts,
         second_copies: scenario.second_copies,
@@ -138,6 +144,35 @@
     }
 }
 
+/// Starts a store of record with zones in it, and writes the operator file by which nodes use it.
+async fn stored(
+    spec: &StoreSpec,
+    scenario: &Scenario,
+    folder: &Path,
+    recorder: &Recorder,
+    ip: IpAddr,
+) -> io::Result<(Arc<Postgres>, PathBuf)> {
+    let server = Postgres::start(ip).await?;
+    server.record(recorder.clone());
+    let options = stonevane_store::postgres::Options::default();
+    let store = stonevane_store::Postgres::new(&server.url(), options).map_err(io::Error::other)?;
+    for rank in 0..spec.holds.min(scenario.load.keys) {
+        let key = format!("{:016x}", key(rank));
+        let value = stonevane_standin::cache::padded(&format!("{key}.first"), 24).into_bytes();
+        store.edit(Edit { key, value, token: None, remember_ms: 0 }).await.map_err(io::Error::other)?;
+    }
+    let path = folder.join("operator.toml");
+    let visibility = if spec.placement { "placement" } else { "store" };
+    let text = format!(
+        "[store]\npostgres = \"{}\"\nstall_ms = {}\nfills = true\nedit_visibility = \"{visibility}\"\ncopy_ms = {}\n",
+        server.url(),
+        spec.stall_ms,
+        spec.copy_ms
+    );
+    std::fs::write(&path, text)?;
+    Ok((server, path))
+}
+
 /// The settings of a deployment, as a node's configuration holds them.
 fn settings(scenario: &Scenario, me: usize) -> serde_json::Value {
     let cache = &scenario.cache;
@@ -255,6 +290,16 @@
             peer_listens.push((name.clone(), UdpSocket::bind((ip, 0)).await?.local_addr()?));
         }
         let peers = PeerNet::start(&peer_listens, ip, seed).await?;
+        let mut kind = kind.clone();
+        let mut store = None;
+        if let Some(spec) = &scenario.store {
+            let (server, path) = stored(spec, scenario, &folder.0, recorder, ip).await?;
+            store = Some(server);
+            match &mut kind {
+                Kind::Process(Program { operator: operator @ None, .. }) => *operator = Some(path),
+                _ => return Err(io::Error::other("a scenario with a store brings its own operator file")),
+            }
+        }
         let (mut nodes, mut configs) = (Vec::new(), Vec::new());
         for (number, (name, listen)) in targets.iter().enumerate() {
             let known: Box<serde_json::value::RawValue> = serde_json::from_str(&discovery.known(name))?;
@@ -284,6 +329,7 @@
         let fleet = Fleet {
             caches,
             origin,
+            store,
             discovery,
             peers,
             nodes: Mutex::new(nodes),
@@ -393,6 +439,12 @@
                 self.origin.stop(lasts.as_micros() as u64);
                 tokio::time::sleep(lasts).await;
             }
+            Act::Store(fault) => {
+                let set = |fault| self.store.iter().for_each(|store| store.fault(fault));
+                set(*fault);
+                tokio::time::sleep(lasts).await;
+                set(PgFault::None);
+            }
             Act::NodeKill(node) => {
                 lock(&self.nodes).kill(*node);
                 tokio::time::sleep(lasts).await;
--- a/crates/stonevane-lab/src/lib.rs
+++ b/crates/stonevane-lab/src/lib.rs
@@ -22,7 +22,7 @@
 pub use summary::{Summary, summarise};
 
 /// The scenarios that come with the lab: their names and texts.
-pub const SCENARIOS: [(&str, &str); 18] = [
+pub const SCENARIOS: [(&str, &str); 21] = [
     ("calm", include_str!("../scenarios/calm.toml")),
     ("kill-cache", include_str!("../scenarios/kill-cache.toml")),
     ("vanish", include_str!("../scenarios/vanish.toml")),
@@ -41,4 +41,7 @@
     ("busy-sixteen", include_str!("../scenarios/busy-sixteen.toml")),
     ("busy-crowd", include_str!("../scenarios/busy-crowd.toml")),
     ("busy-all", include_str!("../scenarios/busy-all.toml")),
+    ("store-stampede", include_str!("../scenarios/store-stampede.toml")),
+    ("store-stall", include_str!("../scenarios/store-stall.toml")),
+    ("store-kill", include_str!("../scenarios/store-kill.toml")),
 ];
--- a/crates/stonevane-lab/src/scenario.rs
+++ b/crates/stonevane-lab/src/scenario.rs
@@ -9,6 +9,7 @@
 use stonevane_standin::client::{Load, LoadClass};
 use stonevane_standin::discovery::Trouble;
 use stonevane_standin::origin::OriginSpec;
+use stonevane_standin::postgres::PgFault;
 
 /// A scenario.
 #[derive(Debug, Clone)]
@@ -27,6 +28,8 @@
     pub cache: CacheSpec,
     /// The origin's figures.
     pub origin: OriginSpec,
+    /// What stands in the origin's place, where something does.
+    pub store: Option<StoreSpec>,
     /// Part of the keys, the most popular first, that the caches hold at the start.
     pub warm_keys: f64,
     /// Sites, and the delay one way between two of them, the shortest and the longest. Nodes and caches are dealt
@@ -64,6 +67,19 @@
     pub expects: Vec<Expect>,
 }
 
+/// A store of record in the origin's place: a PostgreSQL stand-in behind the nodes' own store.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct StoreSpec {
+    /// The time limit of a call.
+    pub stall_ms: u64,
+    /// How long caches keep copies.
+    pub copy_ms: u64,
+    /// Whether an edit's receipt waits until no cache holds an older copy.
+    pub placement: bool,
+    /// Keys that it holds at the start, the most popular first.
+    pub holds: usize,
+}
+
 /// Something that is done at a time.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Step {
@@ -100,6 +116,8 @@
     },
     /// The origin does nothing.
     OriginStop,
+    /// Something is wrong with the store of record.
+    Store(PgFault),
     /// A node is killed, and comes back with the list of its start.
     NodeKill(usize),
     /// A node gets SIGTERM, and comes back once it has ended.
@@ -261,6 +279,7 @@
             caches: 4,
             cache: CacheSpec::default(),
             origin: OriginSpec::default(),
+            store: None,
             warm_keys: 0.8,
             sites: Vec::new(),
             between_us: (1_400, 2_600),
@@ -283,6 +302,17 @@
             scenario.fleet(&table);
             table.finish();
         }
+        if let Some(table) = root.table("store") {
+            scenario.store = Some(StoreSpec {
+                stall_ms: table.integer("stall_ms", 300, 10..=60_000),
+                copy_ms: table.integer("copy_ms", 10_000, 100..=600_000),
+                placement: table
+                    .one_of("edit_visibility", &[("store", false), ("placement", true)])
+                    .unwrap_or(true),
+                holds: table.integer("holds", 500, 0..=20_000) as usize,
+            });
+            table.finish();
+        }
         let table = root.table("load");
         scenario.read_load(table.as_ref());
         scenario.read_tenants(&mut root.tables("tenant").into_iter());
@@ -544,6 +574,21 @@
                 node: need(&nodes, "to")?,
                 count: table.integer("count", 300, 1..=2_000) as usize,
             },
+            store if store.starts_with("store-") && self.store.is_some() => {
+                let name = store.trim_start_matches("store-");
+                let Some((_, fault)) = PgFault::NAMES.iter().find(|(known, _)| *known == name) else {
+                    let known: Vec<_> =
+                        PgFault::NAMES.iter().map(|(name, _)| format!("store-{name}")).collect();
+                    let known: Vec<&str> = known.iter().map(String::as_str).collect();
+                    let what = format!("`do` has no `{store}`{}", suggest(store, &known));
+                    table.fault(table.place_of("do"), what);
+                    return None;
+                };
+                match fault {
+                    PgFault::Slow(ms) => Act::Store(PgFault::Slow(table.integer("by_ms", *ms, 1..=60_000))),
+                    fault => Act::Store(*fault),
+                }
+            }
             other => match Fault::NAMES.iter().find(|(name, _)| *name == other) {
                 Some((_, fault)) => Act::Server {
                     server: servers[need(&servers, "to")?].clone(),
--- a/crates/stonevane-node/src/backends/mod.rs
+++ b/crates/stonevane-node/src/backends/mod.rs
@@ -28,6 +28,8 @@
     pub command: Command,
     /// How long the node will wait, in milliseconds.
     pub left_ms: u64,
+    /// Caches that lacked the key for this request.
+    pub missed: Vec<SocketAddr>,
 }
 
 /// The place of one connection: what it is told by, and whom it tells.
--- a/crates/stonevane-node/src/backends/store.rs
+++ b/crates/stonevane-node/src/backends/store.rs
@@ -3,8 +3,9 @@
 //! answering, the decision module is told for how long calls are no use.
 
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -14,21 +15,28 @@
 use stonevane_store::breaker::{self, Breaker, State, Word};
 use stonevane_store::flight::{FlightId, Flights, Joined, JoinerId, Limits};
 use stonevane_store::{Edit, Postgres, Sqlite, Store, StoreError, postgres, sqlite};
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::AbortHandle;
 use tokio::time::timeout;
 
 use super::{Backend, Job, Life, Seat, cache};
 use crate::clock::log;
+use crate::copies::Teller;
 use crate::hub::Input;
 use crate::reply::{News, Reply};
-use crate::request::Command;
 
 /// Repeats of a keyed edit are known for this long at the least, milliseconds.
 const REMEMBER_MS: u64 = 60_000;
 
+/// A value that a fetch brought. Its version, where caches may keep it.
+#[derive(Clone)]
+struct Value {
+    bytes: Bytes,
+    keep: Option<u64>,
+}
+
 /// What a fetch brought: the value, or why there is none.
-type Fetched = Result<Bytes, StoreError>;
+type Fetched = Result<Value, StoreError>;
 
 /// What it has counted.
 #[derive(Debug, Default)]
@@ -61,6 +69,9 @@
     sharing: Mutex<Sharing>,
     guard: Mutex<Guard>,
     counts: Counts,
+    /// Where caches take copies from nodes.
+    teller: OnceLock<Teller>,
+    copies: Option<operator::Copies>,
 }
 
 /// The store, shared by all its connections; a connection here is a place in the node's table, and no socket.
@@ -106,9 +117,19 @@
             sharing: Mutex::new(sharing),
             guard: Mutex::new(guard),
             counts: Counts::default(),
+            teller: OnceLock::new(),
+            copies: told.copies,
         })))
     }
 
+    /// Begins to tell caches of copies, where the operator has it so; the placement is told by what is returned.
+    pub fn start(&self) -> Option<watch::Sender<Vec<SocketAddr>>> {
+        let copies = self.0.copies?;
+        let (tell, placement) = watch::channel(Vec::new());
+        self.0.teller.set(Teller::start(placement, copies.lifetime)).ok()?;
+        Some(tell)
+    }
+
     /// What it has done, in a line for the log.
     pub fn done(&self) -> String {
         let counts = &self.0.counts;
@@ -139,7 +160,7 @@
         let Some(job) = seat.jobs.recv().await else { return News::Lost { written: false } };
         let (status, value) = match job.command.write {
             true => edit(inner, &seat, job).await,
-            false => fetch(inner, &seat, &job.command).await,
+            false => fetch(inner, &seat, job).await,
         };
         let load = cache::load("", &seat.deployment.load_names);
         news = News::Answer(Reply { status, note: cache::note(""), load, value, keep: true });
@@ -297,10 +318,14 @@
             Err(e) => Err(e),
         };
         // A key that the store does not hold is an area with nothing in it: that is an answer, and no failure.
-        let fetched: Fetched = zone.map(|zone| zone.map_or_else(Bytes::new, |zone| zone.value.into()));
+        let fetched: Fetched = zone.map(|zone| match zone {
+            Some(zone) => Value { keep: Some(zone.version), bytes: zone.value.into() },
+            None => Value { keep: None, bytes: Bytes::new() },
+        });
         let mut sharing = self.sharing();
         sharing.fetching.remove(&flight);
         let Some(landed) = sharing.flights.landed(flight) else { return };
+        let fetched = fetched.map(|value| Value { keep: value.keep.filter(|_| landed.may_keep), ..value });
         for joiner in landed.joiners {
             if let Some(tell) = sharing.waiting.remove(&joiner) {
                 let _ = tell.send(fetched.clone());
@@ -309,13 +334,20 @@
     }
 }
 
-async fn fetch(inner: &Arc<Inner>, seat: &Seat, command: &Command) -> (Status, Option<Bytes>) {
-    let fetched = match text(&command.key) {
-        Ok(key) => inner.shared(key, &seat.hub).await,
-        Err(e) => Err(e),
+async fn fetch(inner: &Arc<Inner>, seat: &Seat, job: Job) -> (Status, Option<Bytes>) {
+    let key = match text(&job.command.key) {
+        Ok(key) => key,
+        Err(e) => return failed(&e, false),
     };
-    match fetched {
-        Ok(value) => (Status::Served, Some(value)),
+    match inner.shared(key.clone(), &seat.hub).await {
+        Ok(Value { bytes, keep }) => {
+            if let (Some(version), Some(teller)) = (keep, inner.teller.get())
+                && !job.missed.is_empty()
+            {
+                teller.fill(job.missed, key, version, bytes.clone());
+            }
+            (Status::Served, Some(bytes))
+        }
         Err(e) => failed(&e, false),
     }
 }
@@ -354,19 +386,32 @@
     inner.counts.edits.fetch_add(1, Ordering::Relaxed);
     let fence = Fence(inner.clone(), key);
     let (tell, told) = oneshot::channel();
-    // A task of its own: given up by the node it goes on all the same, and so must its fence.
+    // A task of its own: given up by the node it goes on all the same, and so must its fence and its copies' end.
     tokio::spawn(async move {
-        let done = fence.0.store.edit(edit).await;
+        let Fence(inner, key) = &fence;
+        let done = inner.store.edit(edit).await;
+        let copies = match (&done, inner.teller.get()) {
+            (Ok(receipt), Some(teller)) => Some(teller.edited(key.clone(), receipt.version).await),
+            _ => None,
+        };
         drop(fence);
-        let _ = tell.send(done);
+        let _ = tell.send((done, copies));
     });
-    let done = match timeout(inner.stall, told).await {
-        Ok(done) => done.unwrap_or(Err(StoreError::Closed)),
-        Err(_) => Err(StoreError::TimedOut),
+    let (done, copies) = match timeout(inner.stall, told).await {
+        Ok(done) => done.unwrap_or((Err(StoreError::Closed), None)),
+        Err(_) => (Err(StoreError::TimedOut), None),
     };
     passed.ended(&done).await;
-    match done {
-        Ok(receipt) => (Status::Served, Some(receipt.version.to_string().into())),
-        Err(e) => failed(&e, true),
+    let receipt = match done {
+        Ok(receipt) => receipt,
+        Err(e) => return failed(&e, true),
+    };
+    if let Some(copies) = copies.filter(|_| inner.copies.is_some_and(|copies| copies.before_receipt)) {
+        // It is done, but a cache may still hold what it was before: no receipt until none does.
+        let left = Duration::from_millis(job.left_ms);
+        if !matches!(timeout(left, copies).await, Ok(Ok(()))) {
+            return failed(&StoreError::TimedOut, true);
+        }
     }
+    (Status::Served, Some(receipt.version.to_string().into()))
 }
--- a/crates/stonevane-node/src/lib.rs
+++ b/crates/stonevane-node/src/lib.rs
@@ -4,6 +4,7 @@
 mod backends;
 mod clock;
 mod config;
+mod copies;
 mod discovery;
 mod fronts;
 mod hub;
@@ -93,8 +94,9 @@
     // All places are free: no client is left, and nobody takes new ones. Against an answer that the last client's
     // task has not written yet when the node ends.
     let idle = move || room.available_permits() >= part;
+    let placement = store.as_ref().and_then(|store| store.start());
     let backend = store.clone().map(|store| store as Arc<dyn Backend>);
-    let node = Node::new(config, deployment, clock, hub, (part, table), memory, backend);
+    let node = Node::new(config, deployment, clock, hub, (part, table), memory, backend, placement);
     node.run(inputs, phase_set, idle).await;
     if let Some(store) = store {
         log(&store.done());
--- a/crates/stonevane-node/src/node.rs
+++ b/crates/stonevane-node/src/node.rs
@@ -67,6 +67,8 @@
     /// Attempts without an outcome.
     out: u16,
     over: bool,
+    /// Caches that lacked its key.
+    missed: Vec<ServerId>,
 }
 
 struct Attempt {
@@ -90,6 +92,8 @@
     cache: Arc<dyn Backend>,
     origin: Arc<dyn Backend>,
     pool: Pool,
+    /// Where the store's side is told of the caches there are.
+    placement: Option<watch::Sender<Vec<SocketAddr>>>,
     memory: Memory,
     discovery: Discovery,
     known: Option<Listing>,
@@ -106,8 +110,10 @@
         table: (usize, Arc<Semaphore>),
         memory: Memory,
         store: Option<Arc<dyn Backend>>,
+        placement: Option<watch::Sender<Vec<SocketAddr>>>,
     ) -> Self {
         Node {
+            placement,
             clock,
             policy: Policy::new(deployment.settings.clone(), config.seed),
             events: VecDeque::new(),
@@ -309,7 +315,18 @@
             size: command.size,
         };
         let share = Some(share);
-        let open = Open { command, client, slot, answers, share, ends, sent: 0, out: 0, over: false };
+        let open = Open {
+            command,
+            client,
+            slot,
+            answers,
+            share,
+            ends,
+            sent: 0,
+            out: 0,
+            over: false,
+            missed: Vec::new(),
+        };
         self.open.insert(id, open);
         self.timers.push(Reverse((ends, Due::Deadline(id))));
         self.tell(Event::Request(request));
@@ -382,7 +399,8 @@
             self.pool.release(conn, address, now);
             return self.end(key, Status::NotSent);
         };
-        let job = Job { command: open.command.clone(), left_ms: (open.ends - now).div_ceil(1_000) };
+        let missed = open.missed.iter().filter_map(|id| Some(self.servers.get(id)?.address)).collect();
+        let job = Job { command: open.command.clone(), left_ms: (open.ends - now).div_ceil(1_000), missed };
         if !self.pool.start(conn, job) {
             self.lost(key, conn, false);
         }
@@ -466,6 +484,9 @@
         let Some(attempt) = self.attempts.remove(&key) else { return };
         let Some(open) = self.open.get_mut(&key.0) else { return };
         open.out -= 1;
+        if reply.status == Status::Miss && self.placement.is_some() {
+            open.missed.push(attempt.server);
+        }
         let over = open.over || reply.status == Status::Served;
         if let Some(value) = reply.value {
             self.answer(key.0, Final::Served(value));
@@ -528,6 +549,13 @@
         }
         let left = lines.iter().filter(|line| line.condition == Condition::Gone).map(|line| line.id);
         left.collect::<Vec<_>>().into_iter().for_each(|id| self.forget(id));
+        if let Some(placement) = &self.placement {
+            // Also those that drain: what is on its way there may be answered still.
+            let caches = self.servers.values().filter(|s| !Arc::ptr_eq(&s.backend, &self.origin));
+            let mut caches: Vec<_> = caches.map(|s| s.address).collect();
+            caches.sort_unstable();
+            placement.send_if_modified(|held| std::mem::replace(held, caches.clone()) != caches);
+        }
         self.tell(Event::ServerList { kind, servers: lines });
     }
 
--- a/crates/stonevane-node/tests/store.rs
+++ b/crates/stonevane-node/tests/store.rs
@@ -8,12 +8,14 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::Command;
+use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use stand_in::*;
+use stonevane_standin::postgres::{PgFault, Postgres as Server};
 use stonevane_store::sqlite::Options;
-use stonevane_store::{Edit, Sqlite};
+use stonevane_store::{Edit, Postgres, Sqlite, Store, postgres};
 
 /// A folder that goes when its test ends.
 struct Folder(PathBuf);
@@ -65,6 +67,136 @@
     Node::start_with(discovery, &list(cache), 256, &folder.operator(""))
 }
 
+/// A PostgreSQL server on a thread of its own, with zones in it.
+fn server(zones: &[(&str, &str)]) -> Arc<Server> {
+    let (tell, told) = std::sync::mpsc::channel();
+    let zones: Vec<_> = zones.iter().map(|(k, v)| ((*k).to_owned(), (*v).to_owned())).collect();
+    std::thread::spawn(move || {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+        runtime.block_on(async move {
+            let server = Server::start("127.0.0.1".parse().unwrap()).await.unwrap();
+            let store = Postgres::new(&server.url(), postgres::Options::default()).unwrap();
+            for (key, value) in zones {
+                store.edit(Edit { key, value: value.into(), token: None, remember_ms: 0 }).await.unwrap();
+            }
+            tell.send(server).unwrap();
+            std::future::pending::<()>().await;
+        });
+    });
+    told.recv_timeout(Duration::from_secs(10)).unwrap()
+}
+
+/// A node before a PostgreSQL server; caches hold the keys that begin with `h`.
+fn before(server: &Server, folder: &Folder, more: &str) -> Node {
+    let path = folder.0.join("operator.toml");
+    let text = format!("[store]\npostgres = \"{}\"\nstall_ms = 200\nprobe_ms = 100\n{more}", server.url());
+    std::fs::write(&path, text).unwrap();
+    let holds = |words: &[String]| Act::Say(if words[1].starts_with('h') { hit("kept") } else { miss() });
+    let cache = cache(holds);
+    let (discovery, ..) = discovery(vec![]);
+    // A writes' class whose repeats are dropped, and refused clients are told when to come back.
+    let settings = settings()
+        .replace(r#""name":"put","goalTimeUs":250000,"deadlineUs":8000000,"effect":"side_effect""#,
+            r#""name":"put","goalTimeUs":250000,"deadlineUs":8000000,"effect":"token","dedupScope":"all","dedupWindowUs":8000000"#)
+        .replace(r#""mayCancel":true"#, r#""mayCancel":true,"retryAfter":true,"maxRetryAfterUs":3000000"#);
+    assert!(settings.contains("token") && settings.contains("retryAfter"));
+    let operator = format!("set -- --operator {};", path.display());
+    Node::start_in(discovery, &list(cache.address), 512, &operator, &settings)
+}
+
+/// Asks again and again until an answer is as wanted; how long that took.
+fn until(node: &Node, name: &str, ask: impl Fn(&str) -> Vec<u8>, wanted: impl Fn(&str) -> bool) -> Duration {
+    let begun = Instant::now();
+    for turn in 0.. {
+        let answer = node.client().ask(&ask(&format!("{name}-{turn}"))).unwrap();
+        if wanted(&answer) {
+            break;
+        }
+        assert!(begun.elapsed() < Duration::from_secs(8), "{name}: {answer}");
+        std::thread::sleep(Duration::from_millis(10));
+    }
+    begun.elapsed()
+}
+
+#[test]
+fn two_hundred_misses_of_one_key_at_once_are_one_query_at_a_postgresql_server() {
+    let (server, folder) = (server(&[("aa", "area")]), Folder::new());
+    let node = before(&server, &folder, "");
+    // A request before makes the schema known and the connection stand.
+    assert_eq!(node.client().ask(&get("bb", "first")).unwrap(), "");
+    // So many at once are let through by a fleet that is known to be quiet.
+    std::thread::sleep(Duration::from_millis(3_500));
+    server.fault(PgFault::Slow(150));
+    let reads = server.counts().reads;
+    let mut clients: Vec<_> = (0..200).map(|_| node.client()).collect();
+    for (id, client) in clients.iter_mut().enumerate() {
+        client.send(&get("aa", &format!("m{id}")));
+    }
+    let answers: Vec<_> = clients.iter_mut().map(|client| client.answer().unwrap()).collect();
+    let served = answers.iter().filter(|answer| *answer == "area").count();
+    assert_eq!(
+        (served, server.counts().reads - reads),
+        (200, 1),
+        "{:?}",
+        answers.iter().find(|a| *a != "area")
+    );
+}
+
+#[test]
+fn while_the_store_stands_still_cached_reads_go_on_all_else_is_answered_at_once_and_it_is_whole_soon_after() {
+    let (server, folder) = (server(&[("aa", "area")]), Folder::new());
+    let mut node = before(&server, &folder, "");
+    assert_eq!(node.client().ask(&get("aa", "0")).unwrap(), "area");
+    server.fault(PgFault::Stall);
+    let begun = Instant::now();
+    // Calls that were made before the breaker opens cost their time limit; it opens on the third.
+    until(&node, "stalls", |id| get("aa", id), |answer| answer.starts_with("-BUSY "));
+    let mut slowest = Duration::ZERO;
+    let (mut advised, mut turn) = (0, 0);
+    while begun.elapsed() < Duration::from_millis(2_500) {
+        turn += 1;
+        let mut client = node.client();
+        assert_eq!(client.ask(&get("hh", &format!("h{turn}"))).unwrap(), "kept", "a cached read");
+        let asked = Instant::now();
+        let miss = client.ask(&get("aa", &format!("m{turn}"))).unwrap();
+        let edit = client.ask(&put("bb", &format!("e{turn}"), "area")).unwrap();
+        slowest = slowest.max(asked.elapsed());
+        // An edit may be the probe, and then it may have run.
+        assert!(
+            miss.starts_with("-BUSY") && (edit.starts_with("-BUSY") || edit.starts_with("-ERR")),
+            "{miss} {edit}"
+        );
+        advised += usize::from(miss.strip_prefix("-BUSY ").is_some_and(|ms| ms.parse::<u64>().unwrap() > 20));
+    }
+    assert!(advised * 2 > turn, "{advised} of {turn} misses were told when to come back");
+    // A probe now and then takes its time limit, for a read and for an edit.
+    assert!(slowest < Duration::from_millis(1_500), "{slowest:?}");
+    server.fault(PgFault::None);
+    let read = until(&node, "back", |id| get("aa", id), |answer| answer == "area");
+    let edit = until(&node, "edit", |id| put("bb", id, "area"), |answer| !answer.starts_with('-'));
+    assert!(read + edit < Duration::from_secs(2), "whole {read:?} and {edit:?} after its return");
+    assert_eq!(server.look("SELECT COUNT(*) FROM edits").unwrap(), [1.into()], "one key, run once");
+    let line = ended(&mut node);
+    assert!(!line.contains("stopped 0 times"), "{line}");
+}
+
+#[test]
+fn an_edit_whose_commit_had_no_answer_is_failed_or_given_its_one_receipt_never_refused_and_never_run_twice() {
+    let (server, folder) = (server(&[]), Folder::new());
+    let node = before(&server, &folder, "");
+    let first = node.client().ask(&put("aa", "1", "one")).unwrap();
+    server.fault(PgFault::CommitLost);
+    let text = put("aa", "2", "two");
+    let text = String::from_utf8(text).unwrap().replace("k=77", "k=78");
+    let lost = node.client().ask(text.as_bytes()).unwrap();
+    assert!(!lost.starts_with("-BUSY"), "it has run: {lost}");
+    server.fault(PgFault::None);
+    let again = text.replace("\r\n2\r\n", "\r\n3\r\n");
+    let ask = |_: &str| again.clone().into_bytes();
+    until(&node, "again", ask, |answer| !answer.starts_with('-'));
+    assert_eq!(server.look("SELECT version FROM counter").unwrap(), [2.into()], "after receipt {first}");
+}
+
 /// The line that a node logs of its store when it ends.
 fn ended(node: &mut Node) -> String {
     node.terminate();
--- a/crates/stonevane-standin/src/cache.rs
+++ b/crates/stonevane-standin/src/cache.rs
@@ -81,28 +81,68 @@
     }
 }
 
+/// A copy: its version, when it was last used, and the value where a node filled it, until a time.
+struct Copy {
+    version: u64,
+    used: u64,
+    filled: Option<(Bytes, u64)>,
+}
+
 /// What it holds, oldest use first.
 #[derive(Default)]
 struct Store {
-    held: HashMap<String, (u64, u64)>,
+    held: HashMap<String, Copy>,
     order: BTreeMap<u64, String>,
     clock: u64,
+    /// Versions below which nothing is to be held, each until a time.
+    voided: HashMap<String, (u64, u64)>,
 }
 
 impl Store {
-    fn get(&mut self, key: &str) -> Option<u64> {
-        let (version, used) = self.held.get_mut(key)?;
+    /// The version, and the value where a node filled it.
+    fn get(&mut self, key: &str, now: u64) -> Option<(u64, Option<Bytes>)> {
+        if self.held.get(key)?.filled.as_ref().is_some_and(|(_, until)| *until <= now) {
+            self.void(key);
+            return None;
+        }
+        let copy = self.held.get_mut(key)?;
         self.clock += 1;
-        self.order.remove(used);
-        *used = self.clock;
+        self.order.remove(&copy.used);
+        copy.used = self.clock;
         self.order.insert(self.clock, key.into());
-        Some(*version)
+        Some((copy.version, copy.filled.as_ref().map(|(value, _)| value.clone())))
+    }
+
+    /// Holds what a node brings, unless something newer is held or was told of.
+    fn fill(&mut self, key: &str, version: u64, value: Bytes, (now, until): (u64, u64), most: usize) -> bool {
+        let voided = self.voided.get(key).is_some_and(|(mark, until)| version < *mark && now < *until);
+        let newer = self.held.get(key).is_some_and(|copy| copy.version > version);
+        if voided || newer {
+            return false;
+        }
+        self.put(key, version, most);
+        if let Some(copy) = self.held.get_mut(key) {
+            copy.filled = Some((value, until));
+        }
+        true
+    }
+
+    /// Nothing older than a version is held from now on.
+    fn void_below(&mut self, key: &str, version: u64, (now, until): (u64, u64)) {
+        if self.held.get(key).is_some_and(|copy| copy.version < version) {
+            self.void(key);
+        }
+        let mark = self.voided.entry(key.into()).or_default();
+        *mark = (mark.0.max(version), mark.1.max(until));
+        if self.voided.len() > 65_536 {
+            self.voided.retain(|_, (_, until)| *until > now);
+        }
     }
 
     fn put(&mut self, key: &str, version: u64, most: usize) {
         self.void(key);
         self.clock += 1;
-        self.held.insert(key.into(), (version, self.clock));
+        self.held.insert(key.into(), Copy { version, used: self.clock, filled: None });
         self.order.insert(self.clock, key.into());
         while self.held.len() > most {
             let Some((_, oldest)) = self.order.pop_first() else { break };
@@ -111,8 +151,8 @@
     }
 
     fn void(&mut self, key: &str) {
-        if let Some((_, used)) = self.held.remove(key) {
-            self.order.remove(&used);
+        if let Some(copy) = self.held.remove(key) {
+            self.order.remove(&copy.used);
         }
     }
 }
@@ -267,10 +307,28 @@
         lock(&self.state).store.void(key);
     }
 
-    /// What an origin in another process tells of copies: `LAB.FILL KEY REQUEST VERSION`, `LAB.VOID KEY`.
-    fn copied(&self, words: &[Bytes]) -> Option<bool> {
+    /// What an origin in another process tells of copies: `LAB.FILL KEY REQUEST VERSION`, `LAB.VOID KEY`; and what
+    /// nodes tell where a store of record is in the origin's place: `OBJ.FILL KEY VERSION MS VALUE`, `OBJ.VOID KEY
+    /// VERSION MS`.
+    fn copied(&self, words: &[Bytes], now: u64) -> Option<bool> {
         let text = |at: usize| words.get(at).and_then(|w| std::str::from_utf8(w).ok());
+        let number = |at: usize| text(at).and_then(|w| w.parse::<u64>().ok());
         match (text(0)?, text(1)) {
+            ("OBJ.VOID", Some(key)) => {
+                let told = number(2).zip(number(3));
+                if let Some((version, ms)) = told {
+                    lock(&self.state).store.void_below(key, version, (now, now.saturating_add(ms * 1_000)));
+                }
+                Some(told.is_some())
+            }
+            ("OBJ.FILL", Some(key)) => {
+                let told = number(2).zip(number(3)).zip(words.get(4));
+                if let Some(((version, ms), value)) = told {
+                    let until = (now, now.saturating_add(ms * 1_000));
+                    lock(&self.state).store.fill(key, version, value.clone(), until, self.spec.objects);
+                }
+                Some(told.is_some())
+            }
             ("LAB.VOID", Some(key)) => {
                 self.void(key);
                 Some(true)
@@ -309,10 +367,11 @@
         let (started, warm_us) = state.started.map_or((0, 0), |at| (at, spec.warm_us));
         let share = able(1e6, spec.cold_share, started, warm_us, now, 1).max(0.01);
         let repeat = state.seen.get(&asked.token).filter(|(until, _)| *until > now).map(|(_, v)| *v);
+        let held = if asked.write { None } else { state.store.get(&asked.key, now) };
         let version = match (asked.write, repeat) {
             (true, Some(version)) => Some(version),
             (true, None) => Some(number),
-            (false, _) => state.store.get(&asked.key),
+            (false, _) => held.as_ref().map(|(version, _)| *version),
         };
         let whole = drawn(spec.work_us, spec.work_cv, &asked.request);
         let work_us = if version.is_some() { whole } else { whole / 10 };
@@ -384,7 +443,14 @@
             ..Line::default()
         });
         let value = version.filter(|_| matches!(effect, Effect::Ran | Effect::Dropped)).map(|version| {
-            let value = format!("{}.{version}.{}.{}.{number}", asked.key, asked.request, spec.name);
+            let filled = held.as_ref().and_then(|(_, value)| value.as_ref());
+            let value = match filled {
+                // What is unique of a value stands first, up to a space.
+                Some(value) => {
+                    String::from_utf8_lossy(value).split(' ').next().unwrap_or_default().to_owned()
+                }
+                None => format!("{}.{version}.{}.{}.{number}", asked.key, asked.request, spec.name),
+            };
             state.values.insert(number, (asked.request.clone(), value.clone(), version));
             value
         });
@@ -505,7 +571,7 @@
         if let Some(asked) = asked(&words) {
             return Ok(Some(self.cache.work(&self.node, &asked, first, last)));
         }
-        if let Some(done) = self.cache.copied(&words) {
+        if let Some(done) = self.cache.copied(&words, last.ended) {
             let bytes = Bytes::from_static(if done { b"+OK\r\n" } else { b"-ERR copy\r\n" });
             return Ok(Some(Due { at: last.ended, bytes, number: 0, close: false }));
         }
--- a/crates/stonevane-standin/src/postgres.rs
+++ b/crates/stonevane-standin/src/postgres.rs
@@ -7,8 +7,8 @@
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
-use std::sync::atomic::{AtomicI32, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::atomic::{AtomicI32, AtomicI64, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, OnceLock};
 use std::time::Duration;
 
 use bytes::{Buf, BufMut, Bytes, BytesMut};
@@ -18,6 +18,9 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Mutex as Turn, Notify, OwnedMutexGuard, broadcast, watch};
 
+use stonevane_audit::{Event, Line, Span};
+
+use crate::record::{Mono, Recorder};
 use crate::server::lock;
 
 /// The longest message that is read, in bytes.
@@ -94,8 +97,12 @@
     cancels: AtomicU64,
 }
 
+/// What is called with the data after each commit, in the order of commits, with the moment before it.
+type Witness = Box<dyn Fn(&Connection, u64) + Send + Sync>;
+
 /// The server.
 pub struct Postgres {
+    witness: OnceLock<Witness>,
     folder: PathBuf,
     data: Mutex<Data>,
     turn: Arc<Turn<()>>,
@@ -147,6 +154,7 @@
         let pending = Arc::default();
         let data = open(&folder.join("main.db"), &pending).map_err(std::io::Error::other)?;
         let server = Arc::new(Postgres {
+            witness: OnceLock::new(),
             folder,
             data: Mutex::new(data),
             turn: Arc::default(),
@@ -185,6 +193,34 @@
         }
     }
 
+    /// Writes each version of a zone that is committed down in a history, from now on.
+    pub fn record(&self, recorder: Recorder) {
+        let newest = AtomicI64::new(0);
+        let _ = self.witness.set(Box::new(move |db, begun| {
+            let query = "SELECT z.key, z.value, z.version, COALESCE(e.token, '') FROM zones z \
+                         LEFT JOIN edits e ON e.version = z.version WHERE z.version > ?1 ORDER BY z.version";
+            let Ok(mut statement) = db.prepare_cached(query) else { return };
+            let line = |row: &rusqlite::Row<'_>| -> rusqlite::Result<Line> {
+                let (value, version): (Vec<u8>, i64) = (row.get(1)?, row.get(2)?);
+                newest.fetch_max(version, Ordering::Relaxed);
+                let value = String::from_utf8_lossy(&value).split(' ').next().unwrap_or_default().to_owned();
+                Ok(Line {
+                    t: Span { begun, ended: Mono::now() },
+                    who: "store".into(),
+                    event: Event::Stored,
+                    key: row.get(0)?,
+                    token: row.get(3)?,
+                    value,
+                    version: version.max(0) as u64,
+                    ..Line::default()
+                })
+            };
+            if let Ok(lines) = statement.query_map([newest.load(Ordering::Relaxed)], line) {
+                lines.flatten().for_each(|line| recorder.line(line));
+            }
+        }));
+    }
+
     /// Keeps a copy of its data as it is now, for a failover to it later.
     ///
     /// # Errors
@@ -752,7 +788,14 @@
             self.roll_back();
             return Ok(Err(Refused("40001", "could not serialize access".into())));
         }
-        let done = lock(&self.server.data).writer.execute_batch("COMMIT");
+        let done = {
+            let (data, begun) = (lock(&self.server.data), Mono::now());
+            let done = data.writer.execute_batch("COMMIT");
+            if let (Ok(()), Some(witness)) = (&done, self.server.witness.get()) {
+                witness(&data.writer, begun);
+            }
+            done
+        };
         if let Err(e) = done {
             self.roll_back();
             return Ok(Err(refused(&e)));
--- a/crates/stonevane-store/src/lib.rs
+++ b/crates/stonevane-store/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod breaker;
 pub mod contract;
+pub mod copies;
 pub mod flight;
 pub mod postgres;
 pub mod reconnect;
