Serve the demo from a store in a file, and send an edit to PostgreSQL in three round trips

Need: the newcomer's command shows the main job on a real store, and an edit paid seven round trips.

Change: stonevane demo puts SQLite in the origin's place with fills and edit_visibility = placement; statements that need no answer of one another go out together, COMMIT apart.

--- a/crates/stonevane-lab/src/fleet.rs
+++ b/crates/stonevane-lab/src/fleet.rs
@@ -9,14 +9,14 @@
 use std::time::Duration;
 
 use stonevane_audit::{ClassRule, Event, Kind as ClassKind, Line, OriginRule, Rules, Scope, Span};
-use stonevane_standin::cache::{Cache, CacheSpec};
+use stonevane_standin::cache::{Cache, CacheSpec, padded};
 use stonevane_standin::client::{Clients, key};
 use stonevane_standin::discovery::{Discovery, Entry, Trouble};
 use stonevane_standin::origin::{Origin, OriginSpec};
 use stonevane_standin::peers::{PeerNet, Weather};
 use stonevane_standin::postgres::{PgFault, Postgres};
 use stonevane_standin::{Fault, Mono, Recorder, lock};
-use stonevane_store::{Edit, Store};
+use stonevane_store::{Edit, Sqlite, Store, postgres, sqlite};
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
 
 use crate::crooked::Little;
@@ -151,23 +151,30 @@
     folder: &Path,
     recorder: &Recorder,
     ip: IpAddr,
-) -> io::Result<(Arc<Postgres>, PathBuf)> {
-    let server = Postgres::start(ip).await?;
-    server.record(recorder.clone());
-    let options = stonevane_store::postgres::Options::default();
-    let store = stonevane_store::Postgres::new(&server.url(), options).map_err(io::Error::other)?;
+) -> io::Result<(Option<Arc<Postgres>>, PathBuf)> {
+    let mut server = None;
+    let (place, store): (String, Box<dyn Store>) = if spec.sqlite {
+        let file = folder.join("zones.db");
+        let store = Sqlite::open(&file, &sqlite::Options::default()).map_err(io::Error::other)?;
+        (format!("sqlite = {:?}", file.display().to_string()), Box::new(store))
+    } else {
+        let started = Postgres::start(ip).await?;
+        started.record(recorder.clone());
+        let url = started.url();
+        let store = stonevane_store::Postgres::new(&url, postgres::Options::default());
+        server = Some(started);
+        (format!("postgres = {url:?}"), Box::new(store.map_err(io::Error::other)?))
+    };
     for rank in 0..spec.holds.min(scenario.load.keys) {
         let key = format!("{:016x}", key(rank));
-        let value = stonevane_standin::cache::padded(&format!("{key}.first"), 24).into_bytes();
+        let value = padded(&format!("{key}.first"), 24).into_bytes();
         store.edit(Edit { key, value, token: None, remember_ms: 0 }).await.map_err(io::Error::other)?;
     }
     let path = folder.join("operator.toml");
     let visibility = if spec.placement { "placement" } else { "store" };
     let text = format!(
-        "[store]\npostgres = \"{}\"\nstall_ms = {}\nfills = true\nedit_visibility = \"{visibility}\"\ncopy_ms = {}\n",
-        server.url(),
-        spec.stall_ms,
-        spec.copy_ms
+        "[store]\n{place}\nstall_ms = {}\nfills = true\nedit_visibility = \"{visibility}\"\ncopy_ms = {}\n",
+        spec.stall_ms, spec.copy_ms
     );
     std::fs::write(&path, text)?;
     Ok((server, path))
@@ -294,7 +301,7 @@
         let mut store = None;
         if let Some(spec) = &scenario.store {
             let (server, path) = stored(spec, scenario, &folder.0, recorder, ip).await?;
-            store = Some(server);
+            store = server;
             match &mut kind {
                 Kind::Process(Program { operator: operator @ None, .. }) => *operator = Some(path),
                 _ => return Err(io::Error::other("a scenario with a store brings its own operator file")),
--- a/crates/stonevane-lab/src/scenario.rs
+++ b/crates/stonevane-lab/src/scenario.rs
@@ -70,6 +70,9 @@
 /// A store of record in the origin's place: a PostgreSQL stand-in behind the nodes' own store.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct StoreSpec {
+    /// A SQLite file in the place of PostgreSQL. Nothing outside the nodes sees its commits, so that such a fleet is for
+    /// trying out and not for the auditor.
+    pub sqlite: bool,
     /// The time limit of a call.
     pub stall_ms: u64,
     /// How long caches keep copies.
@@ -304,6 +307,7 @@
         }
         if let Some(table) = root.table("store") {
             scenario.store = Some(StoreSpec {
+                sqlite: false,
                 stall_ms: table.integer("stall_ms", 300, 10..=60_000),
                 copy_ms: table.integer("copy_ms", 10_000, 100..=600_000),
                 placement: table
--- a/crates/stonevane-node/src/lib.rs
+++ b/crates/stonevane-node/src/lib.rs
@@ -94,9 +94,10 @@
     // All places are free: no client is left, and nobody takes new ones. Against an answer that the last client's
     // task has not written yet when the node ends.
     let idle = move || room.available_permits() >= part;
-    let placement = store.as_ref().and_then(|store| store.start());
-    let backend = store.clone().map(|store| store as Arc<dyn Backend>);
-    let node = Node::new(config, deployment, clock, hub, (part, table), memory, backend, placement);
+    let in_origins_place = store
+        .clone()
+        .map(|store| node::Store { placement: store.start(), backend: store as Arc<dyn Backend> });
+    let node = Node::new(config, deployment, clock, hub, (part, table), memory, in_origins_place);
     node.run(inputs, phase_set, idle).await;
     if let Some(store) = store {
         log(&store.done());
--- a/crates/stonevane-node/src/node.rs
+++ b/crates/stonevane-node/src/node.rs
@@ -77,6 +77,13 @@
     conn: ConnId,
 }
 
+/// A store in the origin's place.
+pub struct Store {
+    pub backend: Arc<dyn Backend>,
+    /// Where it is told of the caches there are, where it tells them of copies.
+    pub placement: Option<watch::Sender<Vec<SocketAddr>>>,
+}
+
 /// The node.
 pub struct Node {
     deployment: Arc<Deployment>,
@@ -109,9 +116,9 @@
         hub: mpsc::Sender<Input>,
         table: (usize, Arc<Semaphore>),
         memory: Memory,
-        store: Option<Arc<dyn Backend>>,
-        placement: Option<watch::Sender<Vec<SocketAddr>>>,
+        store: Option<Store>,
     ) -> Self {
+        let (store, placement) = store.map_or((None, None), |store| (Some(store.backend), store.placement));
         Node {
             placement,
             clock,
--- a/crates/stonevane-store/src/postgres.rs
+++ b/crates/stonevane-store/src/postgres.rs
@@ -15,6 +15,7 @@
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use tokio::time::{sleep, timeout};
 use tokio_postgres::error::SqlState;
+use tokio_postgres::types::ToSql;
 use tokio_postgres::{Client, Config, NoTls, Statement};
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -356,13 +357,19 @@
         };
         let failed = |e: tokio_postgres::Error| failure(&e, false);
         let (now, digest) = (unix_ms(), xxh3_64(&edit.value) as i64);
-        client.batch_execute("BEGIN").await.map_err(failed)?;
-        // The lock on this row puts all edits in one order: what is read from here on is committed.
-        let version: i64 =
-            client.query_one(&statements.next, &[]).await.and_then(|row| row.try_get(0)).map_err(failed)?;
-        if let Some(token) = &edit.token
-            && let Some(row) = client.query_opt(&statements.known, &[token, &now]).await.map_err(failed)?
-        {
+        // Sent in one go and done in order: three round trips for an edit in the place of seven. The lock on the
+        // counter's row puts all edits in one order: what is read behind it is committed.
+        let known = async {
+            match &edit.token {
+                Some(token) => client.query_opt(&statements.known, &[token, &now]).await,
+                None => Ok(None),
+            }
+        };
+        let (begun, version, known) =
+            tokio::join!(client.batch_execute("BEGIN"), client.query_one(&statements.next, &[]), known);
+        begun.map_err(failed)?;
+        let version: i64 = version.and_then(|row| row.try_get(0)).map_err(failed)?;
+        if let Some(row) = known.map_err(failed)? {
             let known = || -> Result<(String, i64, i64), tokio_postgres::Error> {
                 Ok((row.try_get(0)?, row.try_get(1)?, row.try_get(2)?))
             };
@@ -372,14 +379,27 @@
             let receipt = Receipt { version: version.max(0) as u64, repeat: true };
             return same.then_some(receipt).ok_or(StoreError::Conflict);
         }
-        client.execute(&statements.put, &[&edit.key, &edit.value, &version, &now]).await.map_err(failed)?;
-        if let Some(token) = &edit.token {
-            let expires = now.saturating_add_unsigned(edit.remember_ms);
-            let row: [&(dyn tokio_postgres::types::ToSql + Sync); 5] =
-                [token, &edit.key, &digest, &version, &expires];
-            client.execute(&statements.remember, &row).await.map_err(failed)?;
-        }
-        client.query(&statements.notify, &[&edit.key]).await.map_err(failed)?;
+        let (key, value) = (&edit.key, &edit.value);
+        let put: [&(dyn ToSql + Sync); 4] = [key, value, &version, &now];
+        let expires = now.saturating_add_unsigned(edit.remember_ms);
+        let remember = async {
+            match &edit.token {
+                Some(token) => {
+                    let row: [&(dyn ToSql + Sync); 5] = [token, key, &digest, &version, &expires];
+                    client.execute(&statements.remember, &row).await
+                }
+                None => Ok(0),
+            }
+        };
+        let told: [&(dyn ToSql + Sync); 1] = [key];
+        let (put, remembered, told) = tokio::join!(
+            client.execute(&statements.put, &put),
+            remember,
+            client.query(&statements.notify, &told)
+        );
+        put.map_err(failed)?;
+        remembered.map_err(failed)?;
+        told.map_err(failed)?;
         let sweep = {
             let mut swept = lock(&self.swept);
             let due = swept.elapsed() > SWEEP;
--- a/crates/stonevane/src/demo.rs
+++ b/crates/stonevane/src/demo.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use clap::Args;
+use stonevane_lab::scenario::StoreSpec;
 use stonevane_lab::{Fleet, Kind, Scenario, interrupted};
 use stonevane_standin::client::key;
 use stonevane_standin::{Mono, Recorder};
@@ -44,12 +45,15 @@
     fn serve(&self, program: PathBuf) -> Result<(), String> {
         let mut scenario = Scenario::parse(SCENARIO).map_err(|e| format!("{e:?}"))?;
         scenario.nodes = self.nodes as usize;
+        // The main job on one machine: a real store in a file, caches that nodes fill and void.
+        let base = StoreSpec { sqlite: true, stall_ms: 500, copy_ms: 60_000, placement: true, holds: 200 };
+        scenario.store = Some(base);
         let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
         runtime.map_err(|e| e.to_string())?.block_on(async {
             let mono = Mono::default();
             let _beat = tokio::spawn(mono.clone().beat());
             warn!(
-                "starting {} nodes, {} caches, an origin and discovery ...",
+                "starting {} nodes, {} caches, a store in a file and discovery ...",
                 scenario.nodes, scenario.caches
             );
             let fleet =
@@ -63,6 +67,7 @@
                 let address = cache.address("n0").map(|a| a.to_string()).unwrap_or_default();
                 say!("  {}   {address} (as n0 sees it)", cache.spec.name);
             }
+            say!("  store     {} (stonevane store check FILE)", fleet.folder().join("zones.db").display());
             say!("  logs      {}", fleet.folder().display());
             let Some((_, first)) = fleet.targets.first() else { return Ok(()) };
             let at = format!("redis-cli -h {} -p {}", first.ip(), first.port());
@@ -70,9 +75,14 @@
             say!("  {at} PING");
             say!("  {at} OBJ.GET {:016x} id-1 c=zone-lookup,t=coastline,d=1500     (a hit)", key(0));
             say!(
-                "  {at} OBJ.GET 00000000000000ff id-2 c=zone-lookup,t=coastline,d=1500     (a miss, fetched)"
+                "  {at} OBJ.GET {:016x} id-2 c=zone-lookup,t=coastline,d=1500     (a miss, fetched and kept)",
+                key(150)
             );
             say!("  {at} OBJ.SET {:016x} id-3 c=zone-edit,t=coastline,d=300,k=aa area-2", key(0));
+            say!(
+                "  {at} OBJ.GET {:016x} id-4 c=zone-lookup,t=coastline,d=1500     (area-2, on every node)",
+                key(0)
+            );
             say!("\nCtrl-C ends it.");
             let bound = self.for_s.map_or(Duration::MAX, Duration::from_secs);
             let _ = tokio::time::timeout(bound.min(Duration::from_secs(86_400 * 365)), interrupted()).await;
