Hold the ports of a lab's nodes until the nodes start

Cause: each node's port was found by binding and letting go at once, so that two nodes of one lab could be given the same. They are held together now.

--- a/crates/stonevane-lab/src/fleet.rs
+++ b/crates/stonevane-lab/src/fleet.rs
@@ -215,11 +215,6 @@
     })
 }
 
-async fn free_port(ip: IpAddr) -> io::Result<SocketAddr> {
-    // The address is this lab's own, so that nobody takes the port meanwhile.
-    TcpListener::bind((ip, 0)).await?.local_addr()
-}
-
 impl Fleet {
     /// Starts the stand-ins and the nodes, and waits until all are ready.
     ///
@@ -292,8 +287,13 @@
         let discovery = Discovery::start(&doors, recorder.clone(), entries, scenario.call).await?;
         let mut targets = Vec::new();
         let mut peer_listens = Vec::new();
+        // Against two nodes, or a node and a stand-in, with one port: each is held until the nodes start. The address
+        // is this lab's own, so that nobody else takes it then.
+        let mut held = Vec::new();
         for name in &names {
-            targets.push((name.clone(), free_port(ip).await?));
+            let listener = TcpListener::bind((ip, 0)).await?;
+            targets.push((name.clone(), listener.local_addr()?));
+            held.push(listener);
             peer_listens.push((name.clone(), UdpSocket::bind((ip, 0)).await?.local_addr()?));
         }
         let peers = PeerNet::start(&peer_listens, ip, seed).await?;
@@ -354,6 +354,7 @@
             fleet.show(&name, &faults);
             lock(&fleet.standby).insert(name, number);
         }
+        drop(held);
         let mut lives = Vec::new();
         for node in 0..count {
             lives.push(lock(&fleet.nodes).start(node, &fleet.configs[node])?);
