Serve no shared fetch that is older than a void its cache knows of

Need: with edit_visibility = placement a read that comes to one node after a receipt of another could join a fetch that began before the edit, and be served the old value; the fence knew edits of its own node only.

Change: a cache that was told of a void says its version in a miss (miss:41); what a shared fetch brings must be as new, else one more begins. Words of the platform's caches are read as before.

Result: the test is served the old value without this, the new one with two queries with it.

--- a/crates/stonevane-lab/src/scenario.rs
+++ b/crates/stonevane-lab/src/scenario.rs
@@ -590,6 +590,7 @@
                 };
                 match fault {
                     PgFault::Slow(ms) => Act::Store(PgFault::Slow(table.integer("by_ms", *ms, 1..=60_000))),
+                    PgFault::Late(ms) => Act::Store(PgFault::Late(table.integer("by_ms", *ms, 1..=60_000))),
                     fault => Act::Store(*fault),
                 }
             }
--- a/crates/stonevane-node/src/backends/cache.rs
+++ b/crates/stonevane-node/src/backends/cache.rs
@@ -48,7 +48,10 @@
 /// spoilt answers passed on: whatever is not just as the protocol has it is broken.
 fn decode(buffer: &mut BytesMut, load_names: &[String], longest: usize) -> Result<Option<Reply>, Broken> {
     let Some(value) = resp::take_value(buffer, longest).map_err(|_| Broken)? else { return Ok(None) };
-    let reply = |status| Reply { status, note: Note::None, load: Load::default(), value: None, keep: true };
+    let reply = |status| {
+        let (note, load) = (Note::None, Load::default());
+        Reply { status, note, load, value: None, at_least: 0, keep: true }
+    };
     Ok(Some(match value {
         Value::Array(items) => {
             let Ok([Value::Bulk(value), Value::Bulk(how), Value::Bulk(report)]) =
@@ -60,9 +63,11 @@
             let text = |text: &Option<Bytes>| {
                 text.as_ref().and_then(|t| std::str::from_utf8(t).ok()).unwrap_or("").to_owned()
             };
-            let (note, load) = (note(&text(&how)), load(&text(&report), load_names));
+            let how = text(&how);
+            let (note, load) = (note(&how), load(&text(&report), load_names));
             let status = if value.is_some() { Status::Served } else { Status::Miss };
-            Reply { note, load, value, ..reply(status) }
+            let at_least = how.strip_prefix("miss:").and_then(|version| version.parse().ok()).unwrap_or(0);
+            Reply { note, load, value, at_least, ..reply(status) }
         }
         Value::Error(line) => {
             let line = std::str::from_utf8(&line).map_err(|_| Broken)?;
@@ -80,9 +85,10 @@
     }))
 }
 
-/// How a read went, in a server's words.
+/// How a read went, in a server's words. Caches that take voids from nodes say of a miss which version they were told
+/// of last (`miss:41`).
 pub fn note(word: &str) -> Note {
-    match word {
+    match word.split(':').next().unwrap_or_default() {
         "hit" => Note::Hit,
         "miss" => Note::Miss,
         "pending" => Note::MissBeingFetched,
--- a/crates/stonevane-node/src/backends/mod.rs
+++ b/crates/stonevane-node/src/backends/mod.rs
@@ -30,6 +30,8 @@
     pub left_ms: u64,
     /// Caches that lacked the key for this request.
     pub missed: Vec<SocketAddr>,
+    /// The newest version of the key that one of them was told of: what is older may not be served.
+    pub at_least: u64,
 }
 
 /// The place of one connection: what it is told by, and whom it tells.
--- a/crates/stonevane-node/src/backends/origin.rs
+++ b/crates/stonevane-node/src/backends/origin.rs
@@ -104,5 +104,5 @@
     let value = (status == Status::Served).then_some(value);
     let load = cache::load(head.load.as_deref().unwrap_or(""), load_names);
     let note = cache::note(head.note.as_deref().unwrap_or(""));
-    Ok(Some(Reply { status, note, load, value, keep }))
+    Ok(Some(Reply { status, note, load, value, at_least: 0, keep }))
 }
--- a/crates/stonevane-node/src/backends/store.rs
+++ b/crates/stonevane-node/src/backends/store.rs
@@ -28,11 +28,13 @@
 /// Repeats of a keyed edit are known for this long at the least, milliseconds.
 const REMEMBER_MS: u64 = 60_000;
 
-/// A value that a fetch brought. Its version, where caches may keep it.
+/// A value that a fetch brought, with its version; 0 where the store holds nothing.
 #[derive(Clone)]
 struct Value {
     bytes: Bytes,
-    keep: Option<u64>,
+    version: u64,
+    /// Whether caches may keep it.
+    keep: bool,
 }
 
 /// What a fetch brought: the value, or why there is none.
@@ -45,6 +47,7 @@
     joined: AtomicU64,
     edits: AtomicU64,
     stops: AtomicU64,
+    again: AtomicU64,
 }
 
 /// Fetches that are out, and those who wait for them.
@@ -135,9 +138,10 @@
         let counts = &self.0.counts;
         let count = |count: &AtomicU64| count.load(Ordering::Relaxed);
         format!(
-            "store: {} queries, {} more fetches that shared one, {} edits, stopped {} times",
+            "store: {} queries, {} more fetches that shared one, {} of them again after an edit, {} edits, stopped {} times",
             count(&counts.queries),
             count(&counts.joined),
+            count(&counts.again),
             count(&counts.edits),
             count(&counts.stops)
         )
@@ -163,7 +167,7 @@
             false => fetch(inner, &seat, job).await,
         };
         let load = cache::load("", &seat.deployment.load_names);
-        news = News::Answer(Reply { status, note: cache::note(""), load, value, keep: true });
+        news = News::Answer(Reply { status, note: cache::note(""), load, value, at_least: 0, keep: true });
     }
 }
 
@@ -319,13 +323,13 @@
         };
         // A key that the store does not hold is an area with nothing in it: that is an answer, and no failure.
         let fetched: Fetched = zone.map(|zone| match zone {
-            Some(zone) => Value { keep: Some(zone.version), bytes: zone.value.into() },
-            None => Value { keep: None, bytes: Bytes::new() },
+            Some(zone) => Value { version: zone.version, keep: true, bytes: zone.value.into() },
+            None => Value { version: 0, keep: false, bytes: Bytes::new() },
         });
         let mut sharing = self.sharing();
         sharing.fetching.remove(&flight);
         let Some(landed) = sharing.flights.landed(flight) else { return };
-        let fetched = fetched.map(|value| Value { keep: value.keep.filter(|_| landed.may_keep), ..value });
+        let fetched = fetched.map(|value| Value { keep: value.keep && landed.may_keep, ..value });
         for joiner in landed.joiners {
             if let Some(tell) = sharing.waiting.remove(&joiner) {
                 let _ = tell.send(fetched.clone());
@@ -339,11 +343,18 @@
         Ok(key) => key,
         Err(e) => return failed(&e, false),
     };
-    match inner.shared(key.clone(), &seat.hub).await {
-        Ok(Value { bytes, keep }) => {
-            if let (Some(version), Some(teller)) = (keep, inner.teller.get())
-                && !job.missed.is_empty()
-            {
+    let mut fetched = inner.shared(key.clone(), &seat.hub).await;
+    // Against a shared fetch from before an edit on another node, which this request's cache knows of: whatever begins
+    // now began after that edit's receipt.
+    if matches!(&fetched, Ok(value) if value.version < job.at_least) {
+        inner.counts.again.fetch_add(1, Ordering::Relaxed);
+        fetched = inner.shared(key.clone(), &seat.hub).await;
+    }
+    match fetched {
+        // A copy of the store that lags, and does not know it.
+        Ok(value) if value.version < job.at_least => failed(&StoreError::Behind, false),
+        Ok(Value { bytes, version, keep }) => {
+            if let Some(teller) = inner.teller.get().filter(|_| keep && !job.missed.is_empty()) {
                 teller.fill(job.missed, key, version, bytes.clone());
             }
             (Status::Served, Some(bytes))
--- a/crates/stonevane-node/src/node.rs
+++ b/crates/stonevane-node/src/node.rs
@@ -67,8 +67,9 @@
     /// Attempts without an outcome.
     out: u16,
     over: bool,
-    /// Caches that lacked its key.
+    /// Caches that lacked its key, and the newest version that one of them was told of.
     missed: Vec<ServerId>,
+    at_least: u64,
 }
 
 struct Attempt {
@@ -333,6 +334,7 @@
             out: 0,
             over: false,
             missed: Vec::new(),
+            at_least: 0,
         };
         self.open.insert(id, open);
         self.timers.push(Reverse((ends, Due::Deadline(id))));
@@ -407,7 +409,12 @@
             return self.end(key, Status::NotSent);
         };
         let missed = open.missed.iter().filter_map(|id| Some(self.servers.get(id)?.address)).collect();
-        let job = Job { command: open.command.clone(), left_ms: (open.ends - now).div_ceil(1_000), missed };
+        let job = Job {
+            command: open.command.clone(),
+            left_ms: (open.ends - now).div_ceil(1_000),
+            missed,
+            at_least: open.at_least,
+        };
         if !self.pool.start(conn, job) {
             self.lost(key, conn, false);
         }
@@ -482,7 +489,7 @@
     fn end(&mut self, key: AttemptKey, status: Status) {
         self.end_with(
             key,
-            Reply { status, note: Note::None, load: Load::default(), value: None, keep: false },
+            Reply { status, note: Note::None, load: Load::default(), value: None, at_least: 0, keep: false },
         );
     }
 
@@ -493,6 +500,7 @@
         open.out -= 1;
         if reply.status == Status::Miss && self.placement.is_some() {
             open.missed.push(attempt.server);
+            open.at_least = open.at_least.max(reply.at_least);
         }
         let over = open.over || reply.status == Status::Served;
         if let Some(value) = reply.value {
--- a/crates/stonevane-node/src/reply.rs
+++ b/crates/stonevane-node/src/reply.rs
@@ -19,6 +19,9 @@
     pub note: Note,
     pub load: Load,
     pub value: Option<Bytes>,
+    /// Of a miss: the version of the key that the cache was told of last, where it says so; else 0. What is older than
+    /// this was edited before the request was asked.
+    pub at_least: u64,
     /// Whether the connection can carry another request.
     pub keep: bool,
 }
--- a/crates/stonevane-node/tests/store.rs
+++ b/crates/stonevane-node/tests/store.rs
@@ -180,6 +180,40 @@
     assert!(!line.contains("stopped 0 times"), "{line}");
 }
 
+#[test]
+fn a_read_that_comes_after_an_edit_on_another_node_is_not_served_from_a_fetch_that_began_before_it() {
+    let (server, folder) = (server(&[("aa", "old")]), Folder::new());
+    // The key's cache has been told of version 2 when it lacks the key for the second request.
+    let lacks = |words: &[String]| {
+        let told: &[u8] = if words[2] == "late" { b"$6\r\nmiss:2\r\n" } else { b"$-1\r\n" };
+        Act::Say([b"*3\r\n$-1\r\n", told, b"$-1\r\n"].concat())
+    };
+    let path = folder.0.join("operator.toml");
+    let text = format!("[store]\npostgres = \"{}\"\nstall_ms = 5000\nfills = true\n", server.url());
+    std::fs::write(&path, text).unwrap();
+    let (discovery, ..) = discovery(vec![]);
+    let operator = format!("set -- --operator {};", path.display());
+    let node = Node::start_with(discovery, &list(cache(lacks).address), 256, &operator);
+    assert_eq!(node.client().ask(&get("aa", "first")).unwrap(), "old");
+    server.fault(PgFault::Late(600));
+    let (mut early, mut late) = (node.client(), node.client());
+    let reads = server.counts().reads;
+    early.send(&get("aa", "early"));
+    while server.counts().reads == reads {
+        std::thread::sleep(Duration::from_millis(2));
+    }
+    // Its answer is on its way, with the old value; the edit of another node is committed now.
+    std::thread::sleep(Duration::from_millis(50));
+    server
+        .look("UPDATE zones SET value = CAST('new' AS BLOB), version = 2 WHERE key = 'aa' RETURNING version")
+        .unwrap();
+    server.look("UPDATE counter SET version = 2 WHERE id = 1 RETURNING version").unwrap();
+    late.send(&get("aa", "late"));
+    assert_eq!(early.answer().unwrap(), "old", "it was asked before");
+    assert_eq!(late.answer().unwrap(), "new");
+    assert_eq!(server.counts().reads - reads, 2, "it had joined the first fetch");
+}
+
 #[test]
 fn an_edit_whose_commit_had_no_answer_is_failed_or_given_its_one_receipt_never_refused_and_never_run_twice() {
     let (server, folder) = (server(&[]), Folder::new());
@@ -251,7 +285,7 @@
     let numbers = line.split("store: ").nth(1).unwrap().split(|c: char| !c.is_ascii_digit());
     let numbers: Vec<u32> = numbers.filter_map(|n| n.parse().ok()).collect();
     let (queries, joined) = (numbers[0], numbers[1]);
-    assert_eq!((queries + joined, numbers[2]), (served, 0), "each fetch once: {line}");
+    assert_eq!((queries + joined, numbers[3]), (served, 0), "each fetch once: {line}");
     assert!(joined > 0 && served > 30, "{line}");
 }
 
--- a/crates/stonevane-standin/src/cache.rs
+++ b/crates/stonevane-standin/src/cache.rs
@@ -442,6 +442,8 @@
             work_us,
             ..Line::default()
         });
+        let mark =
+            state.store.voided.get(&asked.key).filter(|(_, until)| now < *until).map(|(mark, _)| *mark);
         let value = version.filter(|_| matches!(effect, Effect::Ran | Effect::Dropped)).map(|version| {
             let filled = held.as_ref().and_then(|(_, value)| value.as_ref());
             let value = match filled {
@@ -458,7 +460,14 @@
             (Effect::Busy, _) => Bytes::from_static(b"-BUSY\r\n"),
             (_, None) => {
                 state.values.insert(number, (asked.request.clone(), String::new(), 0));
-                Bytes::from_static(b"*3\r\n$-1\r\n$-1\r\n$-1\r\n")
+                let mut out = BytesMut::from(&b"*3\r\n$-1\r\n"[..]);
+                match mark {
+                    // What it lacks was voided by a node: a fetch must bring this version at the least.
+                    Some(mark) => resp::put_bulk(&mut out, format!("miss:{mark}").as_bytes()),
+                    None => out.extend_from_slice(b"$-1\r\n"),
+                }
+                out.extend_from_slice(b"$-1\r\n");
+                out.freeze()
             }
             (_, Some(value)) => {
                 let value = padded(&value, spec.value_len);
--- a/crates/stonevane-standin/src/postgres.rs
+++ b/crates/stonevane-standin/src/postgres.rs
@@ -43,6 +43,8 @@
     MidRow,
     /// Each statement takes this long, milliseconds; a time limit or a cancel ends it with `57014`.
     Slow(u64),
+    /// Each statement is done at once and answered this much later, milliseconds.
+    Late(u64),
     /// Sessions end with `57P01`; new ones are told `57P03`.
     Shutdown,
     /// Each COMMIT ends with `40001`.
@@ -55,11 +57,12 @@
 
 impl PgFault {
     /// The names of the faults in scripts.
-    pub const NAMES: [(&'static str, PgFault); 8] = [
+    pub const NAMES: [(&'static str, PgFault); 9] = [
         ("stall", PgFault::Stall),
         ("refuse", PgFault::Refuse),
         ("mid-row", PgFault::MidRow),
         ("slow", PgFault::Slow(100)),
+        ("late", PgFault::Late(100)),
         ("shutdown", PgFault::Shutdown),
         ("serialization", PgFault::Serialization),
         ("too-many", PgFault::TooMany),
@@ -756,6 +759,9 @@
             let db = if self.transaction.is_some() { &data.writer } else { &data.reader };
             rows(db, &statement.sql, &values, &statement.columns, binary)
         };
+        if let PgFault::Late(ms) = self.fault() {
+            tokio::time::sleep(Duration::from_millis(ms)).await;
+        }
         let (rows, changed) = match ran {
             Ok(ran) => ran,
             Err(e) => return Ok(Err(refused(&e))),
