Leave reads half of the connections to PostgreSQL, whatever edits wait for

Cause: edits hold a connection each while they wait for the counter's row, with four of them reads had none, waited past their limit and opened the breaker. Change: edits take half of the pool at the most; one that finds no turn in half of its time limit was not sent and is turned away.

--- a/crates/stonevane-node/src/backends/store.rs
+++ b/crates/stonevane-node/src/backends/store.rs
@@ -255,7 +255,10 @@
         };
         match word {
             Word::Refuse { .. } => Err(StoreError::Stopped),
-            passes => Ok(Passed { inner: self.clone(), hub: hub.clone(), probe: passes == Word::Probe }),
+            passes => {
+                let probe = passes == Word::Probe;
+                Ok(Passed { inner: self.clone(), hub: hub.clone(), probe })
+            }
         }
     }
 }
--- a/crates/stonevane-node/tests/store.rs
+++ b/crates/stonevane-node/tests/store.rs
@@ -214,6 +214,29 @@
     assert_eq!(server.counts().reads - reads, 2, "it had joined the first fetch");
 }
 
+#[test]
+fn edits_that_wait_for_one_another_too_long_do_not_stop_reads_of_a_store_that_answers() {
+    let (server, folder) = (server(&[("aa", "area")]), Folder::new());
+    let node = before(&server, &folder, "");
+    assert_eq!(node.client().ask(&get("aa", "first")).unwrap(), "area");
+    // A read takes 60 ms of its 200, an edit seven times as long.
+    server.fault(PgFault::Slow(60));
+    let mut edits: Vec<_> = (0..4).map(|_| node.client()).collect();
+    for (id, client) in edits.iter_mut().enumerate() {
+        client.send(&put(&format!("b{id}"), &format!("e{id}"), "area"));
+    }
+    let begun = Instant::now();
+    let mut turn = 0;
+    while begun.elapsed() < Duration::from_millis(1_000) {
+        turn += 1;
+        let answer = node.client().ask(&get("aa", &format!("r{turn}"))).unwrap();
+        assert_eq!(answer, "area", "read {turn}, {:?} after the edits", begun.elapsed());
+    }
+    let answers: Vec<_> = edits.iter_mut().map(|client| client.answer().unwrap()).collect();
+    // Those that were sent may have been done; those that were not are refused.
+    assert!(answers.iter().any(|answer| answer.starts_with("-ERR")), "{answers:?}");
+}
+
 #[test]
 fn an_edit_whose_commit_had_no_answer_is_failed_or_given_its_one_receipt_never_refused_and_never_run_twice() {
     let (server, folder) = (server(&[]), Folder::new());
--- a/crates/stonevane-store/src/postgres.rs
+++ b/crates/stonevane-store/src/postgres.rs
@@ -130,6 +130,9 @@
     options: Options,
     idle: Mutex<Vec<Session>>,
     room: Arc<Semaphore>,
+    /// Edits have half of the connections at the most: they wait for one another at the server, and would leave reads
+    /// none.
+    edits: Semaphore,
     waiting: AtomicUsize,
     reconnect: Mutex<(Reconnect, Rand64)>,
     /// The newest version that this program has a receipt for.
@@ -325,6 +328,9 @@
 
     async fn edit(self: &Arc<Self>, edit: Edit) -> Result<Receipt, StoreError> {
         edit.check()?;
+        // Nothing has been sent: it is turned away, and may come again.
+        let turn = timeout(self.options.stall / 2, self.edits.acquire()).await;
+        let _turn = turn.map_err(|_| StoreError::Busy)?.map_err(|_| StoreError::Stopped)?;
         let lease = self.lease().await?;
         let mut committing = false;
         // Its statements have limits of their own; this is for a server that says nothing at all.
@@ -479,12 +485,14 @@
             return Err(StoreError::Io("the URL names no host".into()));
         }
         let room = Arc::new(Semaphore::new(options.connections.max(1)));
+        let edits = Semaphore::new((options.connections / 2).max(1));
         let reconnect = (Reconnect::new(options.reconnect), Rand64::new(options.seed.into()));
         Ok(Postgres(Arc::new(Inner {
             config,
             options,
             idle: Mutex::default(),
             room,
+            edits,
             waiting: AtomicUsize::new(0),
             reconnect: Mutex::new(reconnect),
             newest: AtomicU64::new(0),
