--- a/crates/stonevane-store/src/sqlite.rs
+++ b/crates/stonevane-store/src/sqlite.rs
@@ -669,7 +669,10 @@
 }
 
 fn get(db: &Connection, key: &str) -> Result<Option<Zone>, rusqlite::Error> {
-    let mut get = db.prepare_cached("SELECT key, value, version, edited_at FROM zones WHERE key = ?1")?;
+    let mut get = db.prepare_cached("SELECT value, version, edited_at FROM zones WHERE key = ?1")?;
+    let zone = |row: &rusqlite::Row<'_>| {
+        Ok(Zone { key: key.to_owned(), value: row.get(0)?, version: row.get(1)?, edited_at: row.get(2)? })
+    };
     get.query_row([key], zone).optional()
 }
 
