--- /dev/null
+++ b/crates/stonevane-core/src/io.rs
@@ -0,0 +1,127 @@
+//! What goes into the core and what comes out of it.
+
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use spardeal::Micros;
+
+use crate::list::{Era, Listing};
+use crate::reply::{ConnId, Reply};
+use crate::request::Command;
+
+/// Something that has happened.
+#[derive(Debug)]
+pub enum Input<'a> {
+    /// A client has connected; the connection has an id of [`crate::Core::next_id`].
+    Accepted(ConnId),
+    /// A connection that was to be opened is up.
+    Opened(ConnId),
+    /// Bytes came on a connection, no more than [`crate::Core::reads`] had said.
+    Bytes(ConnId, &'a [u8]),
+    /// All of the last [`Output::Write`] has been handed to the machine.
+    Flushed(ConnId),
+    /// A connection has ended, at either side, or could not be opened: it exists no more.
+    Ended(ConnId),
+    /// A call that is no stream has its answer.
+    Replied(ConnId, Reply),
+    /// Discovery has sent a list or a change.
+    List(Era, Listing),
+    /// A call to discovery failed, or the watch broke.
+    ListFailed(Era),
+    /// The store in the origin's place has stopped: no call to it is any use for so long; 0: it answers again.
+    OriginShut(Micros),
+    /// Discovery is elsewhere from now on.
+    Move(SocketAddr),
+    /// The platform asks the node to end.
+    Terminate,
+    /// Nothing has happened but time.
+    Wake,
+}
+
+/// An attempt for a call that is no stream.
+#[derive(Debug)]
+pub struct Job {
+    /// The client's command.
+    pub command: Command,
+    /// How long the node will wait, in milliseconds.
+    pub left_ms: u64,
+    /// Caches that lacked the key for this request.
+    pub missed: Vec<SocketAddr>,
+    /// The newest version of the key that one of them was told of: what is older may not be served.
+    pub at_least: u64,
+}
+
+/// A call to discovery. Whatever it brings names its era.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Ask {
+    /// Begin the watch, anew if there is one, after a version; its end is told.
+    Watch {
+        /// The version held.
+        after: u64,
+    },
+    /// End the watch.
+    Unwatch,
+    /// Ask for the whole list once.
+    Fetch,
+    /// Keep a watch, opened again by itself: lists are pushed by an agent on this machine.
+    Follow,
+    /// End all calls: discovery is elsewhere.
+    Leave,
+}
+
+/// A call to discovery, and where and for whom.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Call {
+    /// What is asked.
+    pub ask: Ask,
+    /// Where discovery is.
+    pub address: SocketAddr,
+    /// Names the discovery that is in force.
+    pub era: Era,
+}
+
+/// Something for the log.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Note {
+    /// The decision module says so.
+    Module(String),
+    /// The decision module can't go on.
+    Fault(String),
+}
+
+/// Something that is to be done, in the order given.
+#[derive(Debug)]
+pub enum Output {
+    /// Write to a connection. There is one at a time; its end is told by [`Input::Flushed`].
+    Write(ConnId, Bytes),
+    /// Write the first bytes of a request to a connection that may have ended unseen: what it brought meanwhile, or
+    /// its end, goes in first, and then nothing is written.
+    Ask(ConnId, Bytes),
+    /// Open a connection.
+    Open(ConnId, SocketAddr),
+    /// Begin a call that is no stream.
+    Call(ConnId, Box<Job>),
+    /// Close a connection, or give a call up, with no word back.
+    Close(ConnId),
+    /// Close a client's connection where nothing has come on it; its bytes go in else. [`Input::Ended`] follows.
+    Part(ConnId),
+    /// Write no more, and read on for a moment, so that the last answer is not taken away by a reset.
+    /// [`Input::Ended`] follows.
+    Linger(ConnId),
+    /// A connection that was not read may be read again.
+    Resume(ConnId),
+    /// A call to discovery.
+    Discovery(Call),
+    /// The caches there are, where copies are told.
+    Placement(Vec<SocketAddr>),
+    /// What is listened on takes no more, but what the machine has taken already.
+    Draining,
+    /// A line for the log.
+    Log(Note),
+    /// All that was taken is answered: the node ends.
+    Done,
+}
+
+/// What is to be done.
+pub type Outputs = VecDeque<Output>;
--- /dev/null
+++ b/crates/stonevane-core/src/lib.rs
@@ -0,0 +1,25 @@
+//! The node without sockets, clock or tasks. [`Core::handle`] takes what has happened and the time at which it did,
+//! and says what is to be done; whoever drives it opens, reads, writes, sleeps, and nothing else.
+//!
+//! It owns the decision module (`spardeal`), the connections of clients ([`clients`]) and to servers ([`servers`]), the
+//! budgets of descriptors and memory, discovery's list and the drain at SIGTERM. It reads no clock, does no I/O, and
+//! has no randomness but the seed: the same inputs at the same times give the same outputs.
+
+mod clients;
+mod faults;
+mod io;
+mod list;
+mod memory;
+mod node;
+mod reply;
+mod request;
+mod servers;
+mod timers;
+
+pub use faults::{Faults, Honest, Mutant};
+pub use io::{Ask, Call, Input, Job, Note, Output, Outputs};
+pub use list::{Endpoint, Era, Listing};
+pub use node::{Core, Count, Setup};
+pub use reply::{ConnId, Reply};
+pub use request::Command;
+pub use servers::cache;
--- a/crates/stonevane-node/src/list.rs
+++ b/crates/stonevane-core/src/list.rs
@@ -21,18 +21,26 @@
 /// A server of the list.
 #[derive(Deserialize, Debug)]
 pub struct Endpoint {
+    /// Its name.
     pub name: String,
+    /// Where it is reached.
     #[serde(default)]
     pub address: String,
+    /// Its zone.
     #[serde(default)]
     pub zone: String,
+    /// Its machine kind.
     #[serde(default, rename = "type")]
     pub kind: String,
+    /// Its cell.
     #[serde(default)]
     pub group: u16,
+    /// `active`, `leaving` or `left`.
     pub status: String,
+    /// Its weight.
     #[serde(default = "one")]
     pub weight: f32,
+    /// When its process started, Unix time in milliseconds; 0 for long ago.
     #[serde(default)]
     pub since_ms: u64,
 }
--- /dev/null
+++ b/crates/stonevane-core/src/node.rs
@@ -0,0 +1,1091 @@
+//! The machine that owns the decision module: what arrives becomes its events, its actions become outputs. It
+//! decides nothing; where the sockets force its hand, a comment says so.
+
+use std::collections::{HashMap, VecDeque};
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use spardeal::settings::Deployment;
+use spardeal::{
+    Action, Condition, Effect, Event, ListKind, Load, Micros, Outcome, Policy, Request, RequestId, ServerId,
+    ServerLine, Status,
+};
+use stonevane_codec::resp::{MAX_VALUE, Malformed};
+use stonevane_config::operator;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::clients::{self, Asked, Clients, Limits, Over, PIECE, Session, Slot};
+use crate::faults::{Faults, Honest, Mutant};
+use crate::io::{Ask, Call, Input, Job, Note, Output, Outputs};
+use crate::list::{Era, Listing};
+use crate::memory::{Memory, Share};
+use crate::reply::{AttemptKey, ConnId, Reply};
+use crate::request::{Command, Final, Phase};
+use crate::servers::{Conn, Pool, Read, Speaks, State};
+use crate::timers::{Due, Timers};
+
+/// After SIGTERM, connections go on being taken for this long: new ones keep coming for up to 0.4 s.
+const ACCEPT_ON: Micros = 450_000;
+/// A node that drains ends this long after the longest deadline at the latest.
+const DRAIN_SLACK: Micros = 550_000;
+const SWEEP: Micros = 1_000_000;
+/// Entries among the timers that are never looked through.
+const TIMERS: usize = 512;
+/// Requests taken and not yet answered.
+const MAX_OPEN: usize = 1024;
+/// Sockets kept back for the listener, discovery and the runtime, and for those just being closed.
+const RESERVE: usize = 16;
+/// An answer that has begun and brings nothing more for this part of the longest aim will not be whole.
+const HALF_TOLD: u64 = 8;
+/// The longest value that a server's answer may hold.
+const MAX_ANSWER: usize = 4 * 1024 * 1024;
+
+/// What a node is told once, at its start.
+#[derive(Debug)]
+pub struct Setup {
+    /// The platform's settings.
+    pub deployment: Deployment,
+    /// Of random numbers.
+    pub seed: u64,
+    /// Sockets that the node may hold, all counted.
+    pub sockets: usize,
+    /// Memory that it may have in all, in megabytes.
+    pub memory_mb: usize,
+    /// The list of servers as it last had it.
+    pub known: Listing,
+    /// Where discovery is.
+    pub discovery: SocketAddr,
+    /// Time limits on clients' connections.
+    pub clients: operator::Clients,
+    /// Connections to servers.
+    pub servers: operator::Servers,
+    /// Whether calls to the origin are no stream: a store of record is in its place.
+    pub store: bool,
+    /// Whether caches are told of copies, so that it must be known which there are.
+    pub copies: bool,
+}
+
+struct Server {
+    address: SocketAddr,
+    speaks: Speaks,
+    condition: Condition,
+    /// When it last answered anything.
+    heard: Micros,
+}
+
+struct Open {
+    command: Command,
+    client: ConnId,
+    slot: u64,
+    /// Held while there is something to send.
+    share: Option<Share>,
+    ends: Micros,
+    sent: u16,
+    /// Attempts without an outcome.
+    out: u16,
+    over: bool,
+    /// Caches that lacked its key, and the newest version that one of them was told of.
+    missed: Vec<ServerId>,
+    at_least: u64,
+}
+
+struct Attempt {
+    server: ServerId,
+    sent: Micros,
+    conn: ConnId,
+}
+
+/// What a core holds, for those who check that nothing is left behind.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Count {
+    /// Clients' connections.
+    pub clients: usize,
+    /// Connections to servers, idle ones included.
+    pub conns: usize,
+    /// Of these, idle ones.
+    pub idle: usize,
+    /// Requests without their final answer, as clients' connections have it.
+    pub owed: usize,
+    /// Entries of requests: those without an answer, and those whose attempts are out still.
+    pub open: usize,
+    /// Attempts that are out.
+    pub attempts: usize,
+    /// Ids that are claimed.
+    pub ids: usize,
+    /// Memory that is taken, bytes.
+    pub memory: usize,
+    /// Entries among the timers.
+    pub timers: usize,
+}
+
+/// The node.
+pub struct Core<F = Honest> {
+    /// What it does wrong on purpose: nothing, but in the simulator.
+    faults: F,
+    deployment: Deployment,
+    now: Micros,
+    policy: Policy,
+    events: VecDeque<Event>,
+    actions: Vec<Action>,
+    timers: Timers,
+    open: HashMap<RequestId, Open>,
+    attempts: HashMap<AttemptKey, Attempt>,
+    next_request: RequestId,
+    next_conn: ConnId,
+    servers: HashMap<ServerId, Server>,
+    /// What is spoken with the origin.
+    origin: Speaks,
+    pool: Pool,
+    clients: Clients,
+    /// Requests that are owed an answer.
+    owed: usize,
+    /// Clients with answers that are not looked at yet.
+    dirty: VecDeque<ConnId>,
+    /// Places for connections, those of clients and servers together, and for either of them.
+    places: usize,
+    part: usize,
+    /// How many of the places for clients are kept for refusals.
+    refusals: usize,
+    memory: Memory,
+    /// The longest value that a server may bring.
+    longest: usize,
+    half_told: Micros,
+    /// The caches that were told of, where copies are.
+    placement: Option<Vec<SocketAddr>>,
+    discovery: SocketAddr,
+    era: Era,
+    /// Version of the list held.
+    index: u64,
+    phase: Phase,
+    ends_at: Option<Micros>,
+    /// A call to discovery has failed, and none is made again: a fault on purpose.
+    deaf: bool,
+    out: Outputs,
+}
+
+impl Core<Honest> {
+    /// A node that knows the list it last had. Its first outputs come with the first input.
+    pub fn new(now: Micros, setup: Setup) -> Core {
+        Core::with_faults(now, setup, Honest)
+    }
+}
+
+impl<F: Faults> Core<F> {
+    /// A node that does something wrong on purpose.
+    pub fn with_faults(now: Micros, setup: Setup, faults: F) -> Core<F> {
+        let Setup { mut deployment, sockets, known, .. } = setup;
+        if faults.plays(Mutant::LongWindow) {
+            for class in &mut deployment.settings.classes {
+                if let Effect::Keyed { window, .. } = &mut class.effect {
+                    *window *= 100;
+                }
+            }
+        }
+        // Clients and servers share the table of sockets; neither can take more of it than leaves the others a
+        // third at the least.
+        let places = sockets - (RESERVE + sockets / 32).min(sockets / 2);
+        let part = places * 2 / 3;
+        let memory = Memory::new(setup.memory_mb);
+        let aim = deployment.settings.classes.iter().map(|class| class.aim).max().unwrap_or(0);
+        let rest = setup.servers.rest.as_micros() as Micros;
+        let mut core = Core {
+            faults,
+            now,
+            policy: Policy::new(deployment.settings.clone(), setup.seed),
+            events: VecDeque::new(),
+            actions: Vec::new(),
+            timers: Timers::default(),
+            open: HashMap::new(),
+            attempts: HashMap::new(),
+            next_request: 1,
+            next_conn: 1,
+            servers: HashMap::new(),
+            origin: if setup.store { Speaks::Call } else { Speaks::Origin },
+            pool: Pool::new(deployment.idle_close, rest),
+            clients: Clients::new(Limits::from(setup.clients)),
+            owed: 0,
+            dirty: VecDeque::new(),
+            places,
+            part,
+            refusals: (part / 8).max(1),
+            // Servers may hold values that are longer than what clients send through here: what bounds them is memory.
+            longest: (memory.all() / 4).min(MAX_ANSWER),
+            memory,
+            half_told: (aim / HALF_TOLD).clamp(10_000, 250_000),
+            placement: setup.copies.then(Vec::new),
+            discovery: setup.discovery,
+            era: 0,
+            index: known.index,
+            phase: Phase::Starting,
+            ends_at: None,
+            deaf: false,
+            out: Outputs::new(),
+            deployment,
+        };
+        core.list(known, Some(ListKind::Cached));
+        if !core.deployment.settings.ask_discovery {
+            core.ask(Ask::Follow);
+        }
+        core.timers.push(now + SWEEP, Due::Sweep);
+        core.settle();
+        core
+    }
+
+    /// A new id for a connection.
+    pub fn next_id(&mut self) -> ConnId {
+        self.next_conn += 1;
+        self.next_conn
+    }
+
+    /// Whether a client's connection may be taken now.
+    pub fn accepts(&self) -> bool {
+        self.clients.sessions.len() < self.part && self.free() > 0 || self.faults.plays(Mutant::OverPlaces)
+    }
+
+    /// How many bytes may be read from a connection now; 0: none, until [`Output::Resume`].
+    pub fn reads(&mut self, id: ConnId) -> usize {
+        let memory = self.memory.all();
+        let (reads, paused) = if let Some(session) = self.clients.sessions.get_mut(&id) {
+            (session.reads(memory), &mut session.paused)
+        } else if let Some(conn) = self.pool.get_mut(id) {
+            (conn.reads(), &mut conn.paused)
+        } else {
+            return 0;
+        };
+        *paused = reads == 0;
+        reads
+    }
+
+    /// When it wants to be woken, at the latest.
+    pub fn next(&self) -> Option<Micros> {
+        self.timers.next()
+    }
+
+    /// Version of the list held.
+    pub fn index(&self) -> u64 {
+        self.index
+    }
+
+    /// What it holds.
+    pub fn count(&self) -> Count {
+        Count {
+            clients: self.clients.sessions.len(),
+            conns: self.pool.len(),
+            idle: self.pool.idle(),
+            owed: self.owed,
+            open: self.open.len(),
+            attempts: self.attempts.len(),
+            ids: self.clients.ids.len(),
+            memory: self.memory.taken(),
+            timers: self.timers.len(),
+        }
+    }
+
+    /// Something has happened at a time, which never goes back: what is to be done.
+    pub fn handle(&mut self, now: Micros, input: Input<'_>, outputs: &mut Outputs) {
+        self.now = self.now.max(now);
+        while let Some(due) = self.timers.pop(self.now) {
+            self.due(due);
+        }
+        match input {
+            Input::Accepted(id) => self.accepted(id),
+            Input::Bytes(id, bytes) => self.bytes(id, bytes),
+            Input::Flushed(id) => self.flushed(id),
+            Input::Ended(id) => self.ended(id),
+            Input::Opened(id) => self.opened(id),
+            Input::Replied(id, reply) => self.replied(id, reply),
+            // Against what the discovery before the present one still had under way: its versions and its view
+            // are no longer in force.
+            Input::List(era, _) | Input::ListFailed(era) if era != self.era => {}
+            Input::List(_, listing) => self.list(listing, None),
+            Input::ListFailed(_) => {
+                self.deaf |= self.faults.plays(Mutant::Deaf);
+                self.tell(Event::ServerList { kind: ListKind::Failed, servers: Vec::new() });
+            }
+            Input::OriginShut(lasts) => self.tell(Event::OriginShut { lasts }),
+            Input::Move(address) => self.move_to(address),
+            Input::Terminate => self.terminate(),
+            Input::Wake => {}
+        }
+        self.settle();
+        outputs.append(&mut self.out);
+    }
+
+    /// What follows from any change: memory and places that became free are given away.
+    fn settle(&mut self) {
+        loop {
+            if let Some(id) = self.dirty.pop_front() {
+                self.client(id);
+            } else if let Some((id, share)) = self.memory.granted() {
+                self.granted(id, share);
+            } else {
+                break;
+            }
+        }
+        // Entries of requests that are over stand until they are due: looked through when they are the most.
+        let live = self.open.len() + self.attempts.len() + self.clients.sessions.len() + self.pool.len();
+        if self.timers.len() > TIMERS + 8 * live {
+            let (open, attempts, pool, sessions) =
+                (&self.open, &self.attempts, &self.pool, &self.clients.sessions);
+            self.timers.retain(|due| match due {
+                Due::Attempt(id, number) => attempts.contains_key(&(*id, *number)),
+                Due::Deadline(id) => open.contains_key(id),
+                Due::Conn(id) => pool.get(*id).is_some() || sessions.contains_key(id),
+                _ => true,
+            });
+        }
+        if self.phase == Phase::Starting && self.servers.values().any(|s| s.condition == Condition::Ready) {
+            self.phase = Phase::Ready;
+        }
+        // Connections to servers that stand idle give way to a client that wants a place.
+        if self.free() == 0
+            && let Some(idle) = self.pool.longest_idle()
+        {
+            self.close_server(idle);
+        }
+        if self.clients.sessions.len() >= self.part {
+            self.clients.pressed = true;
+        }
+        self.press();
+    }
+
+    fn free(&self) -> usize {
+        self.places.saturating_sub(self.clients.sessions.len() + self.pool.len())
+    }
+
+    fn due(&mut self, due: Due) {
+        match due {
+            Due::Policy(token) => self.tell(Event::Timer(token)),
+            Due::Attempt(id, number) => {
+                self.give_up((id, number), Status::TimedOut);
+                self.run_events();
+            }
+            Due::Deadline(id) => {
+                // The module ends a request before this. Should it not, the client still gets its answer.
+                if self.open.get(&id).is_some_and(|open| !open.over)
+                    && !self.faults.plays(Mutant::ForgetRefusal)
+                {
+                    self.answer(id, Final::Failed);
+                    self.tell(Event::ClientGone(id));
+                }
+            }
+            Due::Conn(id) => self.limit(id),
+            Due::Pressure => {}
+            Due::Sweep => {
+                let gone = self.pool.sweep(self.now);
+                gone.into_iter().for_each(|id| self.out.push_back(Output::Close(id)));
+                self.timers.push(self.now + SWEEP, Due::Sweep);
+            }
+            Due::Drain => {
+                self.phase = Phase::Draining;
+                self.out.push_back(Output::Draining);
+                self.clients.between().into_iter().for_each(|id| self.part(id));
+                if self.faults.plays(Mutant::LoseAtTerm) {
+                    let mut all: Vec<_> = self.clients.sessions.keys().copied().collect();
+                    all.sort_unstable();
+                    for id in all {
+                        self.out.push_back(Output::Close(id));
+                        self.client_gone(id);
+                    }
+                }
+            }
+            Due::Ended => {
+                let late = self.ends_at.is_some_and(|at| self.now >= at);
+                let idle = self.clients.sessions.is_empty();
+                if late || (self.open.values().all(|open| open.over) && idle) {
+                    self.out.push_back(Output::Done);
+                } else {
+                    self.timers.push(self.now + 10_000, Due::Ended);
+                }
+            }
+        }
+    }
+
+    fn terminate(&mut self) {
+        if self.ends_at.is_some() {
+            return;
+        }
+        let longest = self.deployment.settings.classes.iter().map(|c| c.deadline).max();
+        self.ends_at = Some(self.now + longest.unwrap_or(0) + DRAIN_SLACK);
+        self.timers.push(self.now + ACCEPT_ON, Due::Drain);
+        self.timers.push(self.now + ACCEPT_ON + 20_000, Due::Ended);
+    }
+
+    // Connections.
+
+    fn accepted(&mut self, id: ConnId) {
+        self.clients.sessions.insert(id, Session::new(self.now, &self.clients.limits));
+        // Against requests lost in a full table: the machine has taken a newcomer's request before the
+        // node has. An idle connection makes room for it; where all are busy it is refused at once.
+        if self.crowded() {
+            self.clients.pressed = true;
+            self.clients.sessions.entry(id).and_modify(|session| session.late = true);
+        }
+        self.client(id);
+    }
+
+    /// Whether only places for refusals are left.
+    fn crowded(&self) -> bool {
+        self.part.saturating_sub(self.clients.sessions.len()).min(self.free()) < self.refusals
+    }
+
+    fn bytes(&mut self, id: ConnId, bytes: &[u8]) {
+        if let Some(session) = self.clients.sessions.get_mut(&id) {
+            session.parting = false;
+            if !session.broken {
+                session.bytes(self.now, bytes, &self.clients.limits);
+            }
+            return self.client(id);
+        }
+        let Some(conn) = self.pool.get_mut(id) else { return };
+        let keeps = self.faults.plays(Mutant::KeepNoise);
+        if keeps && conn.state == State::Idle {
+            conn.noise(bytes);
+            return;
+        }
+        let read =
+            conn.bytes(self.now, bytes, &self.deployment.load_names, self.longest, self.half_told, keeps);
+        match read {
+            Read::More => {
+                if let Some(wants) = conn.wants(self.longest) {
+                    self.memory.wait(id, wants);
+                }
+                self.arm(id);
+            }
+            Read::Answer(reply) => self.replied(id, reply),
+            Read::Spoilt => self.spoilt(id),
+            Read::Unasked => self.lost(id),
+        }
+    }
+
+    fn flushed(&mut self, id: ConnId) {
+        if let Some(session) = self.clients.sessions.get_mut(&id) {
+            session.flushed(self.now);
+            return self.client(id);
+        }
+        if let Some(conn) = self.pool.get_mut(id)
+            && conn.state == State::Writing
+        {
+            conn.state = State::Reading;
+            self.resume(id);
+        }
+    }
+
+    fn ended(&mut self, id: ConnId) {
+        if self.clients.sessions.contains_key(&id) {
+            return self.client_gone(id);
+        }
+        self.lost(id);
+    }
+
+    fn granted(&mut self, id: ConnId, share: Share) {
+        if let Some(session) = self.clients.sessions.get_mut(&id) {
+            session.granted(share);
+            self.client(id);
+        } else if let Some(conn) = self.pool.get_mut(id) {
+            conn.granted(share, self.longest, self.now + self.half_told);
+            self.arm(id);
+            self.resume(id);
+        }
+    }
+
+    /// A limit of a connection may have passed.
+    fn limit(&mut self, id: ConnId) {
+        let memory = self.memory.all();
+        if let Some(session) = self.clients.sessions.get_mut(&id) {
+            let limit = session.limit(memory, &self.clients.limits);
+            if !session.armed.due(limit, self.now, id, &mut self.timers) {
+                return;
+            }
+            match session.over(self.now, memory) {
+                Over::Gone => {
+                    self.out.push_back(Output::Close(id));
+                    self.client_gone(id);
+                }
+                Over::Broken => self.client(id),
+                Over::Idle => self.part(id),
+            }
+            return;
+        }
+        let Some(conn) = self.pool.get_mut(id) else { return };
+        if conn.armed.due(conn.limit, self.now, id, &mut self.timers) {
+            match conn.state {
+                State::Reading => self.spoilt(id),
+                _ => {
+                    self.out.push_back(Output::Close(id));
+                    self.lost(id);
+                }
+            }
+        }
+    }
+
+    /// Enters the limit of a connection to a server among the timers.
+    fn arm(&mut self, id: ConnId) {
+        if let Some(conn) = self.pool.get_mut(id) {
+            conn.armed.arm(conn.limit, id, &mut self.timers);
+        }
+    }
+
+    fn resume(&mut self, id: ConnId) {
+        if let Some(conn) = self.pool.get_mut(id)
+            && conn.paused
+            && conn.reads() > 0
+        {
+            conn.paused = false;
+            self.out.push_back(Output::Resume(id));
+        }
+    }
+
+    // Clients.
+
+    /// Takes what can be taken of a client, and writes what can be written.
+    fn client(&mut self, id: ConnId) {
+        let memory = self.memory.all();
+        while let Some(session) = self.clients.sessions.get_mut(&id) {
+            match session.take(self.now, &self.clients.limits, memory) {
+                Some(Ok(words)) => self.command(id, &words),
+                Some(Err(Malformed(what))) => session.answer_now(format!("-ERR protocol error: {what}\r\n")),
+                None => break,
+            }
+        }
+        let Some(session) = self.clients.sessions.get_mut(&id) else { return };
+        if let Some(bytes) = session.ready(self.now, &self.clients.limits) {
+            self.out.push_back(Output::Write(id, bytes));
+        }
+        if session.wants(memory) {
+            self.memory.wait(id, 2 * MAX_VALUE);
+        }
+        if session.broken && !session.owes() && !session.lingers {
+            session.lingers = true;
+            self.out.push_back(Output::Linger(id));
+        }
+        if session.paused && session.reads(memory) > 0 {
+            session.paused = false;
+            self.out.push_back(Output::Resume(id));
+        }
+        let limit = session.limit(memory, &self.clients.limits);
+        session.armed.arm(limit, id, &mut self.timers);
+        if self.phase == Phase::Draining && session.between() {
+            self.part(id);
+        }
+        self.clients.note_idle(id);
+    }
+
+    /// Closes a client's connection between requests, unless it has brought something meanwhile.
+    fn part(&mut self, id: ConnId) {
+        let Some(session) = self.clients.sessions.get_mut(&id) else { return };
+        if !std::mem::replace(&mut session.parting, true) {
+            self.out.push_back(Output::Part(id));
+        }
+        self.clients.note_idle(id);
+    }
+
+    /// Where others want a place, the client that has stood idle for longest goes, once that was long enough.
+    fn press(&mut self) {
+        if !self.clients.pressed {
+            return;
+        }
+        let Some((since, id)) = self.clients.longest_idle() else { return };
+        let spare_at = since + self.clients.limits.spare;
+        if spare_at <= self.now {
+            self.clients.pressed = false;
+            self.part(id);
+        } else if self.timers.next().is_none_or(|next| next > spare_at) {
+            self.timers.push(spare_at, Due::Pressure);
+        }
+    }
+
+    fn client_gone(&mut self, id: ConnId) {
+        let Some(session) = self.clients.remove(id) else { return };
+        self.memory.forget(id);
+        for slot in session.slots {
+            if let Slot::Owed { request, id } = slot {
+                if !self.faults.plays(Mutant::LeakId) {
+                    self.clients.ids.remove(&id);
+                }
+                self.owed -= 1;
+                self.close_request(request);
+                self.tell(Event::ClientGone(request));
+            }
+        }
+    }
+
+    fn command(&mut self, client: ConnId, words: &[Bytes]) {
+        let read = clients::read(words, &self.deployment);
+        let crowded = self.crowded();
+        let Some(session) = self.clients.sessions.get_mut(&client) else { return };
+        let command = match read {
+            Ok(Asked::Ping) => {
+                return session.answer_now(match self.phase {
+                    Phase::Starting => "-LOADING no list of servers yet\r\n",
+                    _ => "+PONG\r\n",
+                });
+            }
+            // Forced by the input: the module can't be told of a request that names none of its classes.
+            Err(what) => return session.answer_now(format!("-ERR {what}\r\n")),
+            Ok(Asked::Command(command)) => command,
+        };
+        // Forced by a full table of sockets: refused, as it was never sent, and its place is free again.
+        if session.late && crowded {
+            session.broken = true;
+            return session.answer_now("-BUSY\r\n");
+        }
+        session.late = false;
+        if self.clients.ids.contains(&command.id) {
+            return session.answer_now("-ERR a request with this id is open\r\n");
+        }
+        // Forced by memory: a request that finds the table full is turned away, and was never sent. What it holds is
+        // its value, and the same on its way to the origin.
+        let value = command.value.as_ref().map_or(0, Bytes::len);
+        let most = self.deployment.max_open.min(MAX_OPEN);
+        let share = self.memory.try_take(PIECE + 2 * value).filter(|_| self.owed < most);
+        let Some(share) = share else { return session.answer_now("-BUSY\r\n") };
+        let id = self.next_request;
+        self.next_request += 1;
+        self.owed += 1;
+        self.clients.ids.insert(command.id.clone());
+        let slot = session.next_slot();
+        session.slots.push_back(Slot::Owed { request: id, id: command.id.clone() });
+        let ends = self.now + command.time_left;
+        let request = Request {
+            id,
+            class: command.class,
+            tenant: command.tenant,
+            key: command.hashed_key(),
+            write: command.write,
+            repeat: command.repeat,
+            time_left: command.time_left,
+            cost: command.cost,
+            size: command.size,
+        };
+        let (share, missed) = (Some(share), Vec::new());
+        let open =
+            Open { command, client, slot, share, ends, sent: 0, out: 0, over: false, missed, at_least: 0 };
+        self.open.insert(id, open);
+        self.timers.push(ends, Due::Deadline(id));
+        self.tell(Event::Request(request));
+    }
+
+    /// Gives the final answer, the first only.
+    fn answer(&mut self, id: RequestId, says: Final) {
+        let Some(open) = self.open.get(&id).filter(|open| !open.over) else { return };
+        // Forced by memory: an answer that there is no room for is not passed on, and tells as much.
+        let (says, share) = match self.memory.try_take(says.size()) {
+            Some(share) => (says, Some(share)),
+            None => (Final::Failed, None),
+        };
+        let (client, mut slot) = (open.client, open.slot);
+        self.close_request(id);
+        let Some(session) = self.clients.sessions.get_mut(&client) else { return };
+        if self.faults.plays(Mutant::SwapAnswers) {
+            let owed = session.slots.iter().position(|slot| matches!(slot, Slot::Owed { .. }));
+            slot = session.first + owed.unwrap_or(0) as u64;
+        }
+        if let Some(id) = session.answer(slot, clients::word(says), share) {
+            self.clients.ids.remove(&id);
+            self.owed -= 1;
+            // Written when the module has said all that it has to say: it must not be told of another request of this
+            // client in the middle.
+            self.dirty.push_back(client);
+        }
+    }
+
+    /// Nothing is owed for a request any more. Attempts that are out keep its entry until they end.
+    fn close_request(&mut self, id: RequestId) {
+        let Some(open) = self.open.get_mut(&id) else { return };
+        open.over = true;
+        if self.faults.plays(Mutant::LeakMemory) {
+            std::mem::forget(open.share.take());
+        }
+        (open.command.value, open.share) = (None, None);
+        if open.out == 0 {
+            self.open.remove(&id);
+        }
+    }
+
+    // The module.
+
+    /// Tells the module of an event, does what it says, and goes on with what follows from that.
+    fn tell(&mut self, event: Event) {
+        self.events.push_back(event);
+        self.run_events();
+    }
+
+    fn run_events(&mut self) {
+        while let Some(event) = self.events.pop_front() {
+            let mut actions = std::mem::take(&mut self.actions);
+            self.policy.handle(self.now, event, &mut actions);
+            for action in actions.drain(..) {
+                self.act(action);
+            }
+            self.actions = actions;
+        }
+    }
+
+    fn act(&mut self, action: Action) {
+        match action {
+            Action::Send { request, server, give_up_after } => {
+                if self.faults.plays(Mutant::SendTwice) {
+                    self.send(request, server, give_up_after);
+                }
+                self.send(request, server, give_up_after);
+            }
+            Action::Refuse { .. } if self.faults.plays(Mutant::ForgetRefusal) => {}
+            Action::Refuse { request, retry_after } => {
+                self.answer(request, Final::Refused { retry_after });
+            }
+            Action::Fail(request) => self.answer(request, Final::Failed),
+            Action::Cancel { request, attempt } => self.give_up((request, attempt), Status::Cancelled),
+            Action::Timer { after, token } => {
+                self.timers.push(self.now + after.max(1), Due::Policy(token));
+            }
+            Action::Subscribe(true) | Action::FetchList if self.deaf => {}
+            Action::Subscribe(true) => self.ask(Ask::Watch { after: self.index }),
+            Action::Subscribe(false) => self.ask(Ask::Unwatch),
+            Action::FetchList => self.ask(Ask::Fetch),
+            Action::CloseIdle(server) => self.close_idle(server),
+            Action::Log(line) => self.out.push_back(Output::Log(Note::Module(line))),
+            Action::Fault(line) => self.out.push_back(Output::Log(Note::Fault(line))),
+            // This module neither probes nor speaks to peers; the sockets for it are not built.
+            Action::Probe(server) => {
+                let (took, load) = (0, Load::default());
+                self.events.push_back(Event::Probed { server, ok: false, took, load });
+            }
+            Action::Tell { .. } => {}
+        }
+    }
+
+    // Attempts.
+
+    fn send(&mut self, id: RequestId, server: ServerId, give_up_after: Micros) {
+        let Some(open) = self.open.get_mut(&id) else { return };
+        let key = (id, open.sent);
+        (open.sent, open.out) = (open.sent + 1, open.out + 1);
+        let allowed =
+            !open.over && u32::from(key.1) < self.deployment.settings.max_attempts && self.now < open.ends;
+        let limit = if give_up_after == 0 { open.ends } else { open.ends.min(self.now + give_up_after) };
+        let target = self.servers.get(&server).filter(|_| allowed).map(|s| (s.address, s.speaks));
+        let conn = target.and_then(|(address, speaks)| self.connection(server, address, speaks, key));
+        // Forced by the limit on sockets, where there is no connection to send this on.
+        let (conn, up) = conn.unwrap_or((0, false));
+        self.attempts.insert(key, Attempt { server, sent: self.now, conn });
+        if conn == 0 {
+            return self.end(key, Status::NotSent);
+        }
+        self.timers.push(limit, Due::Attempt(id, key.1));
+        if up {
+            self.write(key, conn);
+        }
+    }
+
+    /// A connection for an attempt, and whether it is up; `None` where there is no place for one.
+    fn connection(
+        &mut self,
+        server: ServerId,
+        address: SocketAddr,
+        speaks: Speaks,
+        key: AttemptKey,
+    ) -> Option<(ConnId, bool)> {
+        let mut gone = Vec::new();
+        let idle = self.pool.reuse(server, key, self.now, &mut gone);
+        gone.into_iter().for_each(|id| self.out.push_back(Output::Close(id)));
+        match idle {
+            Some(id) => Some((id, true)),
+            None => self.open_conn(server, address, speaks, key).map(|id| (id, speaks == Speaks::Call)),
+        }
+    }
+
+    fn open_conn(
+        &mut self,
+        server: ServerId,
+        address: SocketAddr,
+        speaks: Speaks,
+        key: AttemptKey,
+    ) -> Option<ConnId> {
+        // One place is for the next client.
+        if (self.pool.len() >= self.part || self.free() <= 1)
+            && let Some(idle) = self.pool.longest_idle()
+        {
+            self.close_server(idle);
+        }
+        if self.pool.len() >= self.part || self.free() <= 1 {
+            return None;
+        }
+        let id = self.next_id();
+        // A machine that vanished answers nothing: the connect has a time-out of its own.
+        let limit = self.now + self.deployment.connect_timeout.max(1_000);
+        let mut conn = Conn::new(server, address, speaks, key, limit);
+        if speaks == Speaks::Call {
+            (conn.state, conn.limit) = (State::Idle, None);
+        } else {
+            self.out.push_back(Output::Open(id, address));
+        }
+        self.pool.insert(id, conn);
+        self.arm(id);
+        Some(id)
+    }
+
+    fn opened(&mut self, id: ConnId) {
+        let Some(conn) = self.pool.get_mut(id).filter(|conn| conn.state == State::Opening) else { return };
+        (conn.state, conn.limit) = (State::Idle, None);
+        if let Some(key) = conn.attempt {
+            self.write(key, id);
+            self.run_events();
+        }
+    }
+
+    /// Hands an attempt to its connection, which is up.
+    fn write(&mut self, key: AttemptKey, id: ConnId) {
+        let Some(attempt) = self.attempts.get(&key) else { return };
+        // Against a send after a drain or an end: between the module's word and the first byte the attempt
+        // waited for its connection, and meanwhile its server may have left or its client gone.
+        let server = self.servers.get(&attempt.server).filter(|s| s.condition == Condition::Ready);
+        let open = self.open.get(&key.0).filter(|open| !open.over && self.now < open.ends);
+        let (Some(_), Some(open)) = (server, open) else {
+            self.release(id, attempt.server);
+            return self.end(key, Status::NotSent);
+        };
+        let Some(conn) = self.pool.get_mut(id) else { return };
+        conn.carried += 1;
+        let left_ms = (open.ends - self.now).div_ceil(1_000);
+        match conn.speaks.encode(&open.command, left_ms, conn.address) {
+            Some(bytes) => {
+                conn.state = State::Writing;
+                self.out.push_back(Output::Ask(id, bytes));
+            }
+            None => {
+                conn.state = State::Reading;
+                let missed =
+                    open.missed.iter().filter_map(|id| Some(self.servers.get(id)?.address)).collect();
+                let (command, at_least) = (open.command.clone(), open.at_least);
+                self.out.push_back(Output::Call(id, Box::new(Job { command, left_ms, missed, at_least })));
+            }
+        }
+    }
+
+    fn replied(&mut self, id: ConnId, reply: Reply) {
+        // What comes from a connection that was given up is late, and of no more interest.
+        let Some(key) = self.pool.get(id).and_then(|conn| conn.attempt) else { return };
+        self.heard(key);
+        match (reply.keep, self.attempts.get(&key).map(|attempt| attempt.server)) {
+            (true, Some(server)) => self.release(id, server),
+            _ => self.close_server(id),
+        }
+        self.end_with(key, reply);
+        self.run_events();
+    }
+
+    /// The server of an attempt lives.
+    fn heard(&mut self, key: AttemptKey) {
+        if let Some(attempt) = self.attempts.get(&key)
+            && let Some(server) = self.servers.get_mut(&attempt.server)
+        {
+            server.heard = self.now;
+        }
+    }
+
+    fn spoilt(&mut self, id: ConnId) {
+        let key = self.pool.get(id).and_then(|conn| conn.attempt);
+        self.close_server(id);
+        if let Some(key) = key {
+            self.heard(key);
+            self.end(key, Status::Spoilt);
+            self.run_events();
+        }
+    }
+
+    /// A connection is lost, or brought what nobody asked for.
+    fn lost(&mut self, id: ConnId) {
+        let Some(conn) = self.pool.get(id) else { return };
+        let (written, carried, attempt) = (conn.state == State::Reading, conn.carried, conn.attempt);
+        let torn = self.faults.plays(Mutant::ServeTorn).then(|| conn.torn()).flatten();
+        self.close_server(id);
+        let Some(key) = attempt else { return };
+        if written {
+            if self.faults.plays(Mutant::AnswerTwice)
+                && let Some(open) = self.open.get(&key.0)
+                && let Some(session) = self.clients.sessions.get_mut(&open.client)
+            {
+                session.answer_now("-ERR failed\r\n");
+                self.dirty.push_back(open.client);
+            }
+            match torn.filter(|_| self.faults.plays(Mutant::ServeTorn)) {
+                Some(value) => {
+                    self.end_with(key, Reply { value: Some(value), ..Reply::bare(Status::Served, false) });
+                }
+                None => self.end(key, Status::Reset),
+            }
+            return self.run_events();
+        }
+        // A kept connection that had ended unseen: the last byte was not written, so nothing was sent, and
+        // the same attempt may have a fresh connection. Only once: a fresh one has carried nothing.
+        let attempt = self.attempts.get(&key).map(|attempt| attempt.server).filter(|_| carried > 1);
+        let server = attempt.and_then(|server| Some((server, self.servers.get(&server)?)));
+        let fresh = server.map(|(server, s)| (server, s.address, s.speaks));
+        let fresh = fresh.and_then(|(server, address, speaks)| self.open_conn(server, address, speaks, key));
+        match (fresh, self.attempts.get_mut(&key)) {
+            (Some(conn), Some(attempt)) => attempt.conn = conn,
+            _ => {
+                self.end(key, Status::ConnectFailed);
+                self.run_events();
+            }
+        }
+    }
+
+    /// A connection owes nothing any more.
+    fn release(&mut self, id: ConnId, server: ServerId) {
+        let address = self.servers.get(&server).map(|s| s.address);
+        // The server is gone from the list or lives elsewhere now.
+        if !self.pool.release(id, address, self.now) {
+            self.close_server(id);
+        }
+    }
+
+    fn close_server(&mut self, id: ConnId) {
+        if self.pool.remove(id).is_some() {
+            self.memory.forget(id);
+            if !self.faults.plays(Mutant::LeakConnection) {
+                self.out.push_back(Output::Close(id));
+            }
+        }
+    }
+
+    fn close_idle(&mut self, server: ServerId) {
+        let gone = self.pool.remove_idle(server);
+        gone.into_iter().for_each(|id| self.out.push_back(Output::Close(id)));
+    }
+
+    /// Stops waiting for an attempt, by closing its connection.
+    fn give_up(&mut self, key: AttemptKey, status: Status) {
+        let Some(attempt) = self.attempts.get(&key) else { return };
+        let (conn, server, sent) = (attempt.conn, attempt.server, attempt.sent);
+        self.close_server(conn);
+        // Against a machine that vanished: its kept connections stay open and silent, and each would cost
+        // a request its whole time. A fresh one tells within the time-out of a connect.
+        if self.servers.get(&server).is_some_and(|server| server.heard < sent) {
+            self.close_idle(server);
+        }
+        self.end(key, status);
+    }
+
+    fn end(&mut self, key: AttemptKey, status: Status) {
+        self.end_with(key, Reply::bare(status, false));
+    }
+
+    /// An attempt has its outcome: the first that serves answers the client, and the module is told.
+    fn end_with(&mut self, key: AttemptKey, reply: Reply) {
+        let Some(attempt) = self.attempts.remove(&key) else { return };
+        let mut reply = reply;
+        reply.status = match reply.status {
+            Status::TimedOut if self.faults.plays(Mutant::TimeoutNotSent) => Status::NotSent,
+            Status::Reset if self.faults.plays(Mutant::ResetNotRun) => Status::ConnectFailed,
+            status => status,
+        };
+        if reply.status == Status::Miss && self.faults.plays(Mutant::ServeMiss) {
+            (reply.status, reply.value) = (Status::Served, Some(Bytes::new()));
+        }
+        let Some(open) = self.open.get_mut(&key.0) else { return };
+        open.out -= 1;
+        if reply.status == Status::Miss && self.origin == Speaks::Call {
+            open.missed.push(attempt.server);
+            open.at_least = open.at_least.max(reply.at_least);
+        }
+        let over = open.over || reply.status == Status::Served;
+        if let Some(value) = reply.value {
+            self.answer(key.0, Final::Served(value));
+        }
+        if over {
+            self.close_request(key.0);
+        }
+        self.events.push_back(Event::Outcome(Outcome {
+            request: key.0,
+            attempt: key.1,
+            server: attempt.server,
+            status: reply.status,
+            over,
+            note: reply.note,
+            took: self.now - attempt.sent,
+            load: reply.load,
+        }));
+    }
+
+    // The list.
+
+    fn ask(&mut self, ask: Ask) {
+        self.out.push_back(Output::Discovery(Call { ask, address: self.discovery, era: self.era }));
+    }
+
+    /// Discovery is at another address from now on; the watch is opened there at once. Against a list that
+    /// stands still: the new one counts versions in its own way, so that the whole list is taken from it.
+    fn move_to(&mut self, address: SocketAddr) {
+        if address == self.discovery {
+            return;
+        }
+        self.ask(Ask::Leave);
+        (self.discovery, self.index) = (address, 0);
+        self.era += 1;
+        let pushed = !self.deployment.settings.ask_discovery;
+        self.ask(if pushed { Ask::Follow } else { Ask::Watch { after: 0 } });
+    }
+
+    fn list(&mut self, listing: Listing, kind: Option<ListKind>) {
+        let kind = kind.unwrap_or(if listing.snapshot { ListKind::Full } else { ListKind::Delta });
+        if kind == ListKind::Delta && listing.index < self.index && !self.faults.plays(Mutant::OldList) {
+            return; // Older than the list held.
+        }
+        self.index = listing.index;
+        let mut lines: Vec<ServerLine> = Vec::with_capacity(listing.endpoints.len());
+        let place = |names: &[String], name: &String| names.iter().position(|known| known == name);
+        for entry in &listing.endpoints {
+            let condition = match entry.status.as_str() {
+                "active" => Condition::Ready,
+                _ if self.faults.plays(Mutant::ForgetDrain) => Condition::Ready,
+                "left" => Condition::Gone,
+                _ => Condition::Draining,
+            };
+            let id = xxh3_64(entry.name.as_bytes()) as ServerId;
+            let address = entry.address.parse().ok().or_else(|| self.servers.get(&id).map(|s| s.address));
+            let Some(address) = address else { continue };
+            let kind = place(&self.deployment.kinds, &entry.kind).unwrap_or(usize::from(u16::MAX)) as u16;
+            let speaks = match self.deployment.settings.origin_kind == Some(kind) {
+                true => self.origin,
+                false => Speaks::Cache,
+            };
+            // In the module's clock, which is Unix time here; 0 stays 0, and nothing starts in the future.
+            let started =
+                if entry.since_ms == 0 { 0 } else { entry.since_ms.saturating_mul(1_000).min(self.now) };
+            let zone = place(&self.deployment.zones, &entry.zone).unwrap_or(255) as u8;
+            let cell = entry.group;
+            lines.push(ServerLine { id, zone, cell, kind, weight: entry.weight, started, condition });
+            let heard = self.servers.get(&id).map_or(0, |server| server.heard);
+            let before = self.servers.insert(id, Server { address, speaks, condition, heard });
+            if condition != Condition::Ready || before.is_some_and(|before| before.address != address) {
+                self.close_idle(id);
+            }
+        }
+        if kind != ListKind::Delta {
+            let listed: Vec<_> = lines.iter().map(|line| line.id).collect();
+            let mut gone: Vec<_> = self.servers.keys().filter(|id| !listed.contains(id)).copied().collect();
+            gone.sort_unstable();
+            gone.iter().for_each(|id| self.forget(*id));
+        }
+        let left = lines.iter().filter(|line| line.condition == Condition::Gone).map(|line| line.id);
+        left.collect::<Vec<_>>().into_iter().for_each(|id| self.forget(id));
+        if let Some(told) = &mut self.placement {
+            // Also those that drain: what is on its way there may be answered still.
+            let caches = self.servers.values().filter(|s| s.speaks == Speaks::Cache);
+            let mut caches: Vec<_> = caches.map(|s| s.address).collect();
+            caches.sort_unstable();
+            if *told != caches {
+                told.clone_from(&caches);
+                self.out.push_back(Output::Placement(caches));
+            }
+        }
+        self.tell(Event::ServerList { kind, servers: lines });
+    }
+
+    fn forget(&mut self, id: ServerId) {
+        self.servers.remove(&id);
+        self.close_idle(id);
+    }
+}
--- a/crates/stonevane-node/src/reply.rs
+++ b/crates/stonevane-core/src/reply.rs
@@ -1,9 +1,9 @@
-//! What backends bring: answers and ends of connections, in no protocol's words.
+//! What servers bring: answers, in no protocol's words.
 
 use bytes::Bytes;
 use spardeal::{Load, Note, RequestId, Status};
 
-/// Names a connection; never used twice.
+/// Names a connection of either side; never used twice.
 pub type ConnId = u64;
 /// Names an attempt: its request and its number.
 pub type AttemptKey = (RequestId, u16);
@@ -15,9 +15,13 @@
 /// An answer of a server.
 #[derive(Debug, PartialEq)]
 pub struct Reply {
+    /// How the attempt ended.
     pub status: Status,
+    /// What was said of the key.
     pub note: Note,
+    /// The load report.
     pub load: Load,
+    /// The value or the receipt.
     pub value: Option<Bytes>,
     /// Of a miss: the version of the key that the cache was told of last, where it says so; else 0. What is older than
     /// this was edited before the request was asked.
@@ -26,15 +30,9 @@
     pub keep: bool,
 }
 
-/// What a connection tells the node.
-#[derive(Debug)]
-pub enum News {
-    /// It is up, and nothing has been written to it.
-    Up,
-    /// The answer to the request that it carried.
-    Answer(Reply),
-    /// Its server answered with what can't be understood: the request may have run, the server is well.
-    Spoilt,
-    /// It could not be opened or is lost; whether the last byte of its request may have been written.
-    Lost { written: bool },
+impl Reply {
+    /// One that says no more than how it ended.
+    pub fn bare(status: Status, keep: bool) -> Reply {
+        Reply { status, note: Note::None, load: Load::default(), value: None, at_least: 0, keep }
+    }
 }
--- a/crates/stonevane-node/src/request.rs
+++ b/crates/stonevane-core/src/request.rs
@@ -1,16 +1,10 @@
-//! What every front hands to the node, and what it gets back: the seam between fronts and the node's loop.
-//! A front reads its protocol into an [`Asked`] and words the [`Final`] that comes back; it decides nothing.
+//! What every front hands to the node, and what it gets back. A front reads its protocol into a [`Command`] and words
+//! the [`Final`] that comes back; it decides nothing.
 
 use bytes::Bytes;
 use spardeal::{Key, Micros};
-use tokio::sync::mpsc;
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::memory::Share;
-
-/// Names a client's connection; never used twice.
-pub type ClientId = u64;
-
 /// Where the node stands.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub enum Phase {
@@ -25,16 +19,27 @@
 /// A command of a client.
 #[derive(Debug, Clone, Default)]
 pub struct Command {
+    /// Whether it writes.
     pub write: bool,
+    /// Its key.
     pub key: Bytes,
+    /// Its id, as the client names it.
     pub id: Bytes,
+    /// What it says of itself, `name=value` with commas between.
     pub facts: String,
+    /// What is written.
     pub value: Option<Bytes>,
+    /// Position of its class.
     pub class: usize,
+    /// Position of its tenant.
     pub tenant: usize,
+    /// For how long its client waits.
     pub time_left: Micros,
+    /// Whether it repeats an earlier try.
     pub repeat: bool,
+    /// Expected work, where told.
     pub cost: Option<Micros>,
+    /// Size of the value, 0 where not told.
     pub size: f32,
 }
 
@@ -47,18 +52,6 @@
     }
 }
 
-/// A command on its way to the node, and where its answer goes.
-#[derive(Debug)]
-pub struct Asked {
-    pub command: Command,
-    pub at: Micros,
-    pub client: ClientId,
-    pub slot: u64,
-    pub answers: mpsc::Sender<Answer>,
-    /// What the request holds of the memory, its value and that value on its way included.
-    pub share: Share,
-}
-
 /// The one final answer to a request, in no protocol's words yet.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Final {
@@ -79,11 +72,3 @@
         }
     }
 }
-
-/// An answer for one of a connection's slots, and what it holds of the memory.
-#[derive(Debug)]
-pub struct Answer {
-    pub slot: u64,
-    pub says: Final,
-    pub share: Option<Share>,
-}
--- a/crates/stonevane-node/src/backends/cache.rs
+++ b/crates/stonevane-core/src/servers/cache.rs
@@ -4,34 +4,11 @@
 use spardeal::{Load, Note, Status};
 use stonevane_codec::resp::{self, Value};
 
-use super::{Dialect, Job};
 use crate::reply::{Broken, Reply};
 use crate::request::Command;
 
-/// Cache servers, which speak RESP2.
-pub struct Cache;
-
-impl Dialect for Cache {
-    fn encode(&self, job: &Job, _host: &str) -> Bytes {
-        encode(&job.command, job.left_ms)
-    }
-
-    fn decode(
-        &self,
-        buffer: &mut BytesMut,
-        load_names: &[String],
-        longest: usize,
-    ) -> Result<Option<Reply>, Broken> {
-        decode(buffer, load_names, longest)
-    }
-
-    fn stated(&self, buffer: &[u8]) -> Option<usize> {
-        resp::stated(buffer)
-    }
-}
-
 /// The command of a client as it goes on to a cache server: all unchanged but `d`, the time left now.
-fn encode(command: &Command, left_ms: u64) -> Bytes {
+pub(crate) fn encode(command: &Command, left_ms: u64) -> Bytes {
     let facts = command.facts.split(',').map(|fact| match fact.split_once('=') {
         Some(("d", _)) => format!("d={left_ms}"),
         _ => fact.into(),
@@ -46,12 +23,13 @@
 
 /// Takes an answer off the front of what a connection brought; `None` while it is not all there. Against
 /// spoilt answers passed on: whatever is not just as the protocol has it is broken.
-fn decode(buffer: &mut BytesMut, load_names: &[String], longest: usize) -> Result<Option<Reply>, Broken> {
+pub(crate) fn decode(
+    buffer: &mut BytesMut,
+    load_names: &[String],
+    longest: usize,
+) -> Result<Option<Reply>, Broken> {
     let Some(value) = resp::take_value(buffer, longest).map_err(|_| Broken)? else { return Ok(None) };
-    let reply = |status| {
-        let (note, load) = (Note::None, Load::default());
-        Reply { status, note, load, value: None, at_least: 0, keep: true }
-    };
+    let reply = |status| Reply::bare(status, true);
     Ok(Some(match value {
         Value::Array(items) => {
             let Ok([Value::Bulk(value), Value::Bulk(how), Value::Bulk(report)]) =
--- /dev/null
+++ b/crates/stonevane-core/src/servers/conn.rs
@@ -0,0 +1,201 @@
+//! One connection to a server: it carries one request at a time, since it answers in order and a slow answer would
+//! stall those behind it.
+
+use std::net::SocketAddr;
+
+use bytes::{Bytes, BytesMut};
+use spardeal::{Micros, ServerId};
+use stonevane_codec::resp::{self, MAX_VALUE};
+
+use super::{cache, origin};
+use crate::memory::Share;
+use crate::reply::{AttemptKey, Broken, Reply};
+use crate::request::Command;
+use crate::timers::Armed;
+
+/// An answer that is longer than this has to wait for memory.
+const PIECE: usize = 4096;
+/// Read at once, where there is memory for it.
+const LONG_PIECE: usize = 64 * 1024;
+
+/// What is spoken with a server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Speaks {
+    /// RESP2, with a cache server.
+    Cache,
+    /// HTTP/1.1, with the origin.
+    Origin,
+    /// Nothing: the driver makes the call.
+    Call,
+}
+
+impl Speaks {
+    /// The bytes of a request; `None` for a call.
+    pub fn encode(self, command: &Command, left_ms: u64, host: SocketAddr) -> Option<Bytes> {
+        match self {
+            Speaks::Cache => Some(cache::encode(command, left_ms)),
+            Speaks::Origin => Some(origin::encode(command, &host.to_string())),
+            Speaks::Call => None,
+        }
+    }
+}
+
+/// Where a connection stands.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum State {
+    /// It is being opened.
+    Opening,
+    /// It owes nothing.
+    Idle,
+    /// Its request is being written: no answer can have come.
+    Writing,
+    /// Its answer is awaited.
+    Reading,
+}
+
+/// What came of some bytes.
+pub enum Read {
+    /// Nothing yet.
+    More,
+    /// A whole answer.
+    Answer(Reply),
+    /// What can't be understood: the request may have run, the server is well.
+    Spoilt,
+    /// Bytes that answer nothing.
+    Unasked,
+}
+
+/// A connection.
+pub struct Conn {
+    pub server: ServerId,
+    pub address: SocketAddr,
+    pub speaks: Speaks,
+    pub state: State,
+    /// The attempt that it was opened for or carries.
+    pub attempt: Option<AttemptKey>,
+    pub idle_since: Micros,
+    /// How many requests it has been given.
+    pub carried: u64,
+    /// When it must be up, or its answer go on.
+    pub limit: Option<Micros>,
+    pub armed: Armed,
+    /// It was asked whether it may be read, and may not.
+    pub paused: bool,
+    buffer: BytesMut,
+    share: Option<Share>,
+    waits: bool,
+}
+
+impl Conn {
+    /// One that is to be opened for an attempt, and up by a limit.
+    pub fn new(
+        server: ServerId,
+        address: SocketAddr,
+        speaks: Speaks,
+        attempt: AttemptKey,
+        limit: Micros,
+    ) -> Conn {
+        Conn {
+            server,
+            address,
+            speaks,
+            state: State::Opening,
+            attempt: Some(attempt),
+            idle_since: 0,
+            carried: 0,
+            limit: Some(limit),
+            armed: Armed::default(),
+            paused: false,
+            buffer: BytesMut::new(),
+            share: None,
+            waits: false,
+        }
+    }
+
+    /// How many bytes may be read now.
+    pub fn reads(&self) -> usize {
+        match (self.state, &self.share) {
+            (State::Opening | State::Writing, _) => 0,
+            _ if self.waits => 0,
+            (_, Some(_)) => LONG_PIECE,
+            (_, None) => PIECE,
+        }
+    }
+
+    /// What has come of an answer that is not whole, where it is the beginning of a value.
+    pub fn torn(&self) -> Option<Bytes> {
+        let at = self.buffer.iter().rposition(|byte| *byte == b'\n')? + 1;
+        (at < self.buffer.len()).then(|| Bytes::copy_from_slice(&self.buffer[at..]))
+    }
+
+    /// Keeps bytes that nobody asked for: only a core that does so on purpose.
+    pub fn noise(&mut self, bytes: &[u8]) {
+        self.buffer.extend_from_slice(bytes);
+    }
+
+    /// Takes bytes that came. `half_told`: an answer that has begun and brings nothing more for so long is spoilt.
+    /// `keeps`: what is beyond an answer stays, on purpose.
+    pub fn bytes(
+        &mut self,
+        now: Micros,
+        bytes: &[u8],
+        names: &[String],
+        longest: usize,
+        half_told: Micros,
+        keeps: bool,
+    ) -> Read {
+        if self.state != State::Reading {
+            // Against a second copy or noise behind a good answer: the next request's answer could not be told from it.
+            return Read::Unasked;
+        }
+        self.buffer.extend_from_slice(bytes);
+        let decoded = match self.speaks {
+            Speaks::Origin => origin::decode(&mut self.buffer, names, longest),
+            Speaks::Cache | Speaks::Call => cache::decode(&mut self.buffer, names, longest),
+        };
+        match decoded {
+            Ok(Some(reply)) => {
+                // Bytes beyond the answer belong to no request: nothing after them could be matched.
+                let keep = reply.keep && (self.buffer.is_empty() || keeps);
+                (self.share, self.limit) = (None, None);
+                if !keeps {
+                    self.buffer = BytesMut::new();
+                }
+                Read::Answer(Reply { keep, ..reply })
+            }
+            // The rest of an answer comes with its beginning. Against lines and values that never end: one that stands
+            // still half told is spoilt, and its request can still go elsewhere.
+            Ok(None) => {
+                self.limit = (!self.buffer.is_empty()).then_some(now + half_told);
+                Read::More
+            }
+            Err(Broken) => Read::Spoilt,
+        }
+    }
+
+    /// How much memory the answer wants before more of it is read. Against long answers that together are more than the
+    /// memory: they wait their turn.
+    pub fn wants(&mut self, longest: usize) -> Option<usize> {
+        if self.buffer.len() <= PIECE || self.share.is_some() || self.waits {
+            return None;
+        }
+        self.waits = true;
+        self.limit = None;
+        Some(2 * self.stated(longest))
+    }
+
+    /// It has the memory that it wanted.
+    pub fn granted(&mut self, share: Share, longest: usize, until: Micros) {
+        (self.share, self.waits, self.limit) = (Some(share), false, Some(until));
+        let stated = self.stated(longest);
+        self.buffer.reserve(stated.saturating_sub(self.buffer.len()));
+    }
+
+    fn stated(&self, longest: usize) -> usize {
+        let stated = match self.speaks {
+            Speaks::Origin => origin::stated(&self.buffer),
+            Speaks::Cache | Speaks::Call => resp::stated(&self.buffer),
+        };
+        stated.unwrap_or(0).clamp(MAX_VALUE, longest.max(MAX_VALUE))
+    }
+}
--- /dev/null
+++ b/crates/stonevane-core/src/servers/mod.rs
@@ -0,0 +1,140 @@
+//! Connections to cache servers and the origin: which are idle, which may be used again, which go.
+
+pub mod cache;
+mod conn;
+mod origin;
+
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+
+use spardeal::{Micros, ServerId};
+
+use crate::reply::{AttemptKey, ConnId};
+
+pub use conn::{Conn, Read, Speaks, State};
+
+/// All connections to servers.
+pub struct Pool {
+    conns: HashMap<ConnId, Conn>,
+    /// Idle connections of each server, the one used last at the end.
+    idle: BTreeMap<ServerId, Vec<ConnId>>,
+    idle_limit: Micros,
+    /// A connection rests for so long after an answer. Against a second copy or noise that comes a moment behind a good
+    /// answer: it must be seen before the next request is written, or it would be read as its answer.
+    rest: Micros,
+}
+
+impl Pool {
+    /// An empty one; servers close a connection that was idle for `idle_close`.
+    pub fn new(idle_close: Micros, rest: Micros) -> Pool {
+        // Well before the server closes it: a request written to a closed connection ends as a reset, which
+        // may have run and so may not be sent again.
+        Pool { conns: HashMap::new(), idle: BTreeMap::new(), idle_limit: idle_close / 2, rest }
+    }
+
+    /// How many there are.
+    pub fn len(&self) -> usize {
+        self.conns.len()
+    }
+
+    /// A connection.
+    pub fn get(&self, id: ConnId) -> Option<&Conn> {
+        self.conns.get(&id)
+    }
+
+    /// A connection.
+    pub fn get_mut(&mut self, id: ConnId) -> Option<&mut Conn> {
+        self.conns.get_mut(&id)
+    }
+
+    /// A new one.
+    pub fn insert(&mut self, id: ConnId, conn: Conn) {
+        self.conns.insert(id, conn);
+    }
+
+    /// An idle connection to a server for an attempt, if there is one; those that are too old to be used come behind
+    /// it, and are gone.
+    pub fn reuse(
+        &mut self,
+        server: ServerId,
+        attempt: AttemptKey,
+        now: Micros,
+        gone: &mut Vec<ConnId>,
+    ) -> Option<ConnId> {
+        loop {
+            let idle = self.idle.get_mut(&server)?;
+            // In the order in which they became idle: the one used last among those that have rested.
+            let (conns, rest) = (&self.conns, self.rest);
+            let rested = |id: &ConnId| conns.get(id).is_none_or(|conn| conn.idle_since + rest <= now);
+            let id = idle.iter().rposition(rested).map(|at| idle.remove(at))?;
+            match self.conns.get_mut(&id) {
+                Some(conn) if now < conn.idle_since + self.idle_limit => {
+                    conn.attempt = Some(attempt);
+                    return Some(id);
+                }
+                Some(_) => {
+                    self.conns.remove(&id);
+                    gone.push(id);
+                }
+                None => {}
+            }
+        }
+    }
+
+    /// A connection owes nothing any more and may be used again; `false` where its server lives elsewhere now.
+    pub fn release(&mut self, id: ConnId, address: Option<SocketAddr>, now: Micros) -> bool {
+        let Some(conn) = self.conns.get_mut(&id) else { return true };
+        if address != Some(conn.address) {
+            return false;
+        }
+        (conn.attempt, conn.idle_since, conn.state, conn.limit) = (None, now, State::Idle, None);
+        self.idle.entry(conn.server).or_default().push(id);
+        true
+    }
+
+    /// Takes a connection out.
+    pub fn remove(&mut self, id: ConnId) -> Option<Conn> {
+        let conn = self.conns.remove(&id)?;
+        if conn.state == State::Idle
+            && let Some(idle) = self.idle.get_mut(&conn.server)
+        {
+            idle.retain(|other| *other != id);
+        }
+        Some(conn)
+    }
+
+    /// Takes the idle connections to a server out.
+    pub fn remove_idle(&mut self, server: ServerId) -> Vec<ConnId> {
+        let gone = self.idle.remove(&server).unwrap_or_default();
+        gone.iter().for_each(|id| drop(self.conns.remove(id)));
+        gone
+    }
+
+    /// Takes out what has been idle for long.
+    pub fn sweep(&mut self, now: Micros) -> Vec<ConnId> {
+        let (conns, limit, mut gone) = (&mut self.conns, self.idle_limit, Vec::new());
+        self.idle.retain(|_, ids| {
+            ids.retain(|id| {
+                let keep = conns.get(id).is_some_and(|conn| now < conn.idle_since + limit);
+                if !keep {
+                    conns.remove(id);
+                    gone.push(*id);
+                }
+                keep
+            });
+            !ids.is_empty()
+        });
+        gone
+    }
+
+    /// The connection that has been idle for longest.
+    pub fn longest_idle(&self) -> Option<ConnId> {
+        let oldest = self.idle.values().filter_map(|ids| ids.first());
+        oldest.min_by_key(|id| (self.conns.get(id).map_or(0, |conn| conn.idle_since), **id)).copied()
+    }
+
+    /// Idle ones.
+    pub fn idle(&self) -> usize {
+        self.idle.values().map(Vec::len).sum()
+    }
+}
--- a/crates/stonevane-node/src/backends/origin.rs
+++ b/crates/stonevane-core/src/servers/origin.rs
@@ -4,37 +4,15 @@
 use spardeal::Status;
 use stonevane_codec::http::{self, Chunks};
 
-use super::{Dialect, Job, cache};
+use super::cache;
 use crate::reply::{Broken, Reply};
 use crate::request::Command;
 
 /// Interim answers (1xx) ahead of the final one, at most.
 const MAX_INTERIM: usize = 8;
 
-/// The origin, which speaks HTTP/1.1.
-pub struct Origin;
-
-impl Dialect for Origin {
-    fn encode(&self, job: &Job, host: &str) -> Bytes {
-        encode(&job.command, host)
-    }
-
-    fn decode(
-        &self,
-        buffer: &mut BytesMut,
-        load_names: &[String],
-        longest: usize,
-    ) -> Result<Option<Reply>, Broken> {
-        decode(buffer, load_names, longest)
-    }
-
-    fn stated(&self, buffer: &[u8]) -> Option<usize> {
-        http::head(buffer).ok().flatten().and_then(|head| head.content_length)
-    }
-}
-
 /// The request for a client's command.
-fn encode(command: &Command, host: &str) -> Bytes {
+pub(super) fn encode(command: &Command, host: &str) -> Bytes {
     let mut out = BytesMut::with_capacity(512);
     out.put_slice(if command.write { b"PUT /" } else { b"GET /" });
     out.put_slice(&command.key);
@@ -51,7 +29,11 @@
 }
 
 /// Takes an answer off the front of what a connection brought; `None` while it is not all there.
-fn decode(buffer: &mut BytesMut, load_names: &[String], longest: usize) -> Result<Option<Reply>, Broken> {
+pub(super) fn decode(
+    buffer: &mut BytesMut,
+    load_names: &[String],
+    longest: usize,
+) -> Result<Option<Reply>, Broken> {
     // Interim answers come ahead of the final one. They stay in the buffer until that has come, so that the
     // few that are allowed are counted anew each time: against a server that sends them without end.
     let mut ahead = 0;
@@ -106,3 +88,8 @@
     let note = cache::note(head.note.as_deref().unwrap_or(""));
     Ok(Some(Reply { status, note, load, value, at_least: 0, keep }))
 }
+
+/// The length that an answer states for its value, once it has.
+pub(super) fn stated(buffer: &[u8]) -> Option<usize> {
+    http::head(buffer).ok().flatten().and_then(|head| head.content_length)
+}
--- a/crates/stonevane-node/src/config.rs
+++ b/crates/stonevane-node/src/config.rs
@@ -7,7 +7,7 @@
 use stonevane_config::operator::Operator;
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::list::Listing;
+use stonevane_core::Listing;
 
 /// All that a node is told at its start.
 #[derive(Debug)]
--- a/crates/stonevane-node/src/discovery.rs
+++ b/crates/stonevane-node/src/discovery.rs
@@ -7,14 +7,12 @@
 
 use bytes::BytesMut;
 use stonevane_codec::http::{self, Chunks};
+use stonevane_core::{Ask, Call, Era, Input};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
-use tokio::sync::mpsc;
 use tokio::task::AbortHandle;
 
 use crate::clock::log;
-use crate::hub::Input;
-use crate::list::Era;
 
 const CONNECT: Duration = Duration::from_secs(1);
 /// Calls wait in turn at discovery: it is given this long to begin its answer.
@@ -27,104 +25,75 @@
 /// The longest list.
 const MAX_LIST: usize = 4 * 1024 * 1024;
 
-/// Where a call's news goes, and whose it is.
+/// Where what a call brings goes.
+pub type Tell = Arc<dyn Fn(Input<'static>) + Send + Sync>;
+
+/// A call's era, and where its news goes.
 #[derive(Clone)]
 struct Line {
-    hub: mpsc::Sender<Input>,
+    tell: Tell,
     era: Era,
 }
 
 /// The calls to discovery that are out: one watch and one whole list at most.
 pub struct Discovery {
-    address: SocketAddr,
     /// Version of the list held.
     index: Arc<AtomicU64>,
-    hub: mpsc::Sender<Input>,
+    tell: Tell,
     watch: Option<AbortHandle>,
     fetch: Option<AbortHandle>,
-    /// Counts the moves from one discovery to another.
-    era: Era,
 }
 
 impl Discovery {
-    /// Discovery at an address, where a list of a version is held.
-    pub fn new(address: SocketAddr, index: u64, hub: mpsc::Sender<Input>) -> Self {
-        Discovery { address, index: Arc::new(AtomicU64::new(index)), hub, watch: None, fetch: None, era: 0 }
-    }
-
-    /// Discovery is at another address from now on; the watch is opened there at once. Against a list that
-    /// stands still: the new one counts versions in its own way, so that the whole list is taken from it.
-    pub fn move_to(&mut self, address: SocketAddr, pushed: bool) {
-        self.fetch.take().inspect(AbortHandle::abort);
-        self.watch.take().inspect(AbortHandle::abort);
-        (self.address, self.index) = (address, Arc::default());
-        self.era += 1;
-        if pushed { self.follow() } else { self.subscribe(true) }
-    }
-
-    /// Where discovery is.
-    pub fn address(&self) -> SocketAddr {
-        self.address
-    }
-
-    /// Whether news is of the discovery that is in force.
-    pub fn present(&self, era: Era) -> bool {
-        era == self.era
-    }
-
-    fn line(&self) -> Line {
-        Line { hub: self.hub.clone(), era: self.era }
-    }
-
-    /// Version of the list held.
-    pub fn index(&self) -> u64 {
-        self.index.load(Ordering::Relaxed)
-    }
-
-    /// A list of a version is held now.
-    pub fn held(&self, index: u64) {
-        self.index.store(index, Ordering::Relaxed);
-    }
-
-    /// Begins the watch, anew if there is one, or ends it.
-    pub fn subscribe(&mut self, on: bool) {
-        self.watch.take().inspect(AbortHandle::abort);
-        let (address, line, index) = (self.address, self.line(), self.index.clone());
-        let call = async move {
-            report(watch(address, &index, &line).await);
-            let _ = line.hub.send(Input::ListFailed(line.era)).await;
-        };
-        self.watch = on.then(|| tokio::spawn(call).abort_handle());
-    }
-
-    /// Asks for the whole list once.
-    pub fn fetch(&mut self) {
-        self.fetch.take().inspect(AbortHandle::abort);
-        let (address, line) = (self.address, self.line());
-        let call = async move {
-            let called = lists(address, "/v1/servers", &line).await;
-            if let Err(e) = called {
-                log(&format!("discovery: {e}"));
-                let _ = line.hub.send(Input::ListFailed(line.era)).await;
+    /// No call yet; `index` is kept at the version of the list held.
+    pub fn new(index: Arc<AtomicU64>, tell: Tell) -> Self {
+        Discovery { index, tell, watch: None, fetch: None }
+    }
+
+    /// Makes a call, or ends some.
+    pub fn call(&mut self, call: Call) {
+        let (address, line) = (call.address, Line { tell: self.tell.clone(), era: call.era });
+        match call.ask {
+            Ask::Watch { after } => {
+                self.watch.take().inspect(AbortHandle::abort);
+                let call = async move {
+                    report(watch(address, after, &line).await);
+                    (line.tell)(Input::ListFailed(line.era));
+                };
+                self.watch = Some(tokio::spawn(call).abort_handle());
             }
-        };
-        self.fetch = Some(tokio::spawn(call).abort_handle());
-    }
-
-    /// Where lists are pushed, an agent on this machine has them: its watch is opened again by itself.
-    pub fn follow(&mut self) {
-        let (address, line, index) = (self.address, self.line(), self.index.clone());
-        let call = async move {
-            let mut pause = BACKOFF.0;
-            loop {
-                let before = index.load(Ordering::Relaxed);
-                let _ = watch(address, &index, &line).await;
-                let heard = index.load(Ordering::Relaxed) != before;
-                pause = if heard { BACKOFF.0 } else { (pause * 2).min(BACKOFF.1) };
-                tokio::time::sleep(pause).await;
+            Ask::Unwatch => drop(self.watch.take().inspect(AbortHandle::abort)),
+            Ask::Fetch => {
+                self.fetch.take().inspect(AbortHandle::abort);
+                let call = async move {
+                    if let Err(e) = lists(address, "/v1/servers", &line).await {
+                        log(&format!("discovery: {e}"));
+                        (line.tell)(Input::ListFailed(line.era));
+                    }
+                };
+                self.fetch = Some(tokio::spawn(call).abort_handle());
             }
-        };
-        self.watch = Some(tokio::spawn(call).abort_handle());
+            // Where lists are pushed, an agent on this machine has them: its watch is opened again by itself.
+            Ask::Follow => {
+                self.watch.take().inspect(AbortHandle::abort);
+                let index = self.index.clone();
+                let call = async move {
+                    let mut pause = BACKOFF.0;
+                    loop {
+                        let before = index.load(Ordering::Relaxed);
+                        let _ = watch(address, before, &line).await;
+                        let heard = index.load(Ordering::Relaxed) != before;
+                        pause = if heard { BACKOFF.0 } else { (pause * 2).min(BACKOFF.1) };
+                        tokio::time::sleep(pause).await;
+                    }
+                };
+                self.watch = Some(tokio::spawn(call).abort_handle());
+            }
+            Ask::Leave => {
+                self.fetch.take().inspect(AbortHandle::abort);
+                self.watch.take().inspect(AbortHandle::abort);
+            }
+        }
     }
 }
 
@@ -157,8 +126,8 @@
     }
 }
 
-async fn watch(address: SocketAddr, index: &AtomicU64, line: &Line) -> Result<(), CallError> {
-    let path = match index.load(Ordering::Relaxed) {
+async fn watch(address: SocketAddr, after: u64, line: &Line) -> Result<(), CallError> {
+    let path = match after {
         0 => "/v1/servers?watch=1".into(),
         held => format!("/v1/servers?watch=1&after={held}"),
     };
@@ -209,11 +178,11 @@
         // A body of a stated length is one list, on however many lines; else each line is one.
         let whole = head.content_length.is_some();
         while !whole && let Some(end) = body.iter().position(|byte| *byte == b'\n') {
-            pass_on(&body.split_to(end + 1), to).await?;
+            pass_on(&body.split_to(end + 1), to)?;
             patience = SILENCE;
         }
         if ended {
-            return pass_on(&body, to).await;
+            return pass_on(&body, to);
         }
         if body.len() > MAX_LIST {
             return Err(CallError::Garbage);
@@ -226,10 +195,10 @@
     }
 }
 
-async fn pass_on(line: &[u8], to: &Line) -> Result<(), CallError> {
+fn pass_on(line: &[u8], to: &Line) -> Result<(), CallError> {
     if !line.trim_ascii().is_empty() {
         let listing = serde_json::from_slice(line).map_err(|_| CallError::Garbage)?;
-        let _ = to.hub.send(Input::List(to.era, listing)).await;
+        (to.tell)(Input::List(to.era, listing));
     }
     Ok(())
 }
--- /dev/null
+++ b/crates/stonevane-node/src/driver.rs
@@ -0,0 +1,447 @@
+//! Drives the core: opens, reads, writes, sleeps, and decides nothing. Each connection has a task that waits until it
+//! can be read; whoever brings news to the core does at once what the core says, so that no channel and no other task
+//! lies between a client's bytes and those for a server.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use bytes::Bytes;
+use rustix::net::RecvFlags;
+use spardeal::Micros;
+use spardeal::settings::Deployment;
+use stonevane_core::{ConnId, Core, Input, Note, Output, Outputs};
+use tokio::io::Interest;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{Notify, watch};
+use tokio::task::AbortHandle;
+use tokio::time::{sleep, sleep_until, timeout};
+
+use crate::clock::{Clock, log};
+use crate::discovery::Discovery;
+use crate::store::Record;
+
+/// After an error that ends a connection, its client's input is read on for so long, and so much of it.
+const LINGER: (Duration, usize) = (Duration::from_millis(200), 256 * 1024);
+/// Read at once, at most.
+const SCRATCH: usize = 64 * 1024;
+
+/// One connection, or a call that is no stream. Dropped, it is closed.
+struct Link {
+    /// `None` while it is being opened, and where it is no stream.
+    stream: Option<Arc<TcpStream>>,
+    /// Waits for what it brings.
+    task: Option<AbortHandle>,
+    /// Writes what the machine did not take at once.
+    writer: Option<AbortHandle>,
+    /// Wakes the task, where the core would not have it read.
+    resume: Arc<Notify>,
+}
+
+impl Drop for Link {
+    fn drop(&mut self) {
+        self.task.iter().chain(&self.writer).for_each(AbortHandle::abort);
+    }
+}
+
+struct State {
+    core: Core,
+    outputs: Outputs,
+    links: HashMap<ConnId, Link>,
+    scratch: Box<[u8]>,
+    discovery: Option<Discovery>,
+    placement: Option<watch::Sender<Vec<SocketAddr>>>,
+}
+
+/// Drives one core.
+pub struct Driver {
+    state: Mutex<State>,
+    clock: Clock,
+    deployment: Deployment,
+    /// The store in the origin's place.
+    store: Option<Arc<Record>>,
+    /// Version of the list held.
+    index: Arc<AtomicU64>,
+    /// When the core is woken next, in its time.
+    armed: AtomicU64,
+    /// That has become earlier.
+    earlier: Notify,
+    /// A client's connection may be taken.
+    accept: Notify,
+    accepts: AtomicBool,
+    /// What is listened on takes no more, but what the machine has taken already.
+    draining: Notify,
+    drains: AtomicBool,
+    done: Notify,
+}
+
+/// What came of reading.
+enum Received {
+    /// Go on.
+    Some,
+    /// The core would not have it read now.
+    Paused,
+    /// The connection exists no more.
+    Over,
+}
+
+/// Reads what has come, at most so much; `WouldBlock` where nothing has. A short read has emptied the socket: it is
+/// not asked again before the machine tells of more (as tokio's own reads do).
+fn receive(stream: &TcpStream, buffer: &mut [u8]) -> std::io::Result<usize> {
+    let mut short = 0;
+    let read = stream.try_io(Interest::READABLE, || {
+        let (count, _) = rustix::net::recv(stream, &mut *buffer, RecvFlags::empty())?;
+        if count > 0 && count < buffer.len() {
+            short = count;
+            return Err(std::io::ErrorKind::WouldBlock.into());
+        }
+        Ok(count)
+    });
+    if short > 0 { Ok(short) } else { read }
+}
+
+fn would_block<T>(result: &std::io::Result<T>) -> bool {
+    matches!(result, Err(e) if e.kind() == std::io::ErrorKind::WouldBlock)
+}
+
+impl Driver {
+    /// A driver of a core that has done nothing yet.
+    pub fn new(core: Core, clock: Clock, deployment: Deployment, store: Option<Arc<Record>>) -> Arc<Driver> {
+        let index = Arc::new(AtomicU64::new(core.index()));
+        let state = State {
+            core,
+            outputs: Outputs::new(),
+            links: HashMap::new(),
+            scratch: vec![0; SCRATCH].into(),
+            discovery: None,
+            placement: None,
+        };
+        let driver = Arc::new(Driver {
+            state: Mutex::new(state),
+            clock,
+            deployment,
+            store,
+            index: index.clone(),
+            armed: AtomicU64::new(Micros::MAX),
+            earlier: Notify::new(),
+            accept: Notify::new(),
+            accepts: AtomicBool::new(false),
+            draining: Notify::new(),
+            drains: AtomicBool::new(false),
+            done: Notify::new(),
+        });
+        let (weak, shut) = (Arc::downgrade(&driver), Arc::downgrade(&driver));
+        let tell = Arc::new(move |input: Input<'static>| {
+            if let Some(driver) = weak.upgrade() {
+                driver.input(input);
+            }
+        });
+        let shut = Box::new(move |lasts| {
+            if let Some(driver) = shut.upgrade() {
+                driver.input(Input::OriginShut(lasts));
+            }
+        });
+        {
+            let mut state = driver.lock();
+            state.discovery = Some(Discovery::new(index, tell));
+            state.placement = driver.store.as_ref().and_then(|store| store.start(shut));
+        }
+        driver
+    }
+
+    /// Runs until the node has drained.
+    pub async fn run(self: &Arc<Self>, listener: TcpListener) {
+        let listens = tokio::spawn(self.clone().listen(listener));
+        let sleeps = tokio::spawn(self.clone().sleep());
+        self.input(Input::Wake);
+        self.done.notified().await;
+        listens.abort();
+        sleeps.abort();
+        self.lock().links.clear();
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Tells the core, and does what it says.
+    pub fn input(self: &Arc<Self>, input: Input<'_>) {
+        let mut state = self.lock();
+        self.tell(&mut state, input);
+        self.perform(&mut state);
+    }
+
+    fn tell(&self, state: &mut State, input: Input<'_>) {
+        state.core.handle(self.clock.now(), input, &mut state.outputs);
+    }
+
+    /// Does what is to be done, and what follows from that.
+    fn perform(self: &Arc<Self>, state: &mut State) {
+        while let Some(output) = state.outputs.pop_front() {
+            match output {
+                Output::Write(id, bytes) => self.write(state, id, bytes),
+                Output::Ask(id, bytes) => {
+                    // First: a connection that the server has ended is not written to, so that its request surely
+                    // never ran.
+                    if self.drained(state, id) {
+                        self.write(state, id, bytes);
+                    }
+                }
+                Output::Open(id, address) => {
+                    let task = tokio::spawn(self.clone().open(id, address)).abort_handle();
+                    self.link(state, id, None, task);
+                }
+                Output::Call(id, job) => {
+                    let Some(store) = self.store.clone() else { continue };
+                    let own = self.clone();
+                    let call = async move {
+                        let reply = store.call(*job, &own.deployment).await;
+                        own.input(Input::Replied(id, reply));
+                    };
+                    let task = tokio::spawn(call).abort_handle();
+                    self.link(state, id, None, task);
+                }
+                Output::Close(id) => drop(state.links.remove(&id)),
+                Output::Part(id) => {
+                    if self.drained(state, id) && state.links.remove(&id).is_some() {
+                        self.tell(state, Input::Ended(id));
+                    }
+                }
+                Output::Linger(id) => {
+                    let Some(link) = state.links.get_mut(&id) else { continue };
+                    let Some(stream) = link.stream.clone() else { continue };
+                    link.task.take().inspect(AbortHandle::abort);
+                    let own = self.clone();
+                    let lingers = async move {
+                        let _ = timeout(LINGER.0, linger(&stream)).await;
+                        own.ended(id);
+                    };
+                    link.task = Some(tokio::spawn(lingers).abort_handle());
+                }
+                Output::Resume(id) => {
+                    if let Some(link) = state.links.get(&id) {
+                        link.resume.notify_one();
+                    }
+                }
+                Output::Discovery(call) => {
+                    if let Some(discovery) = &mut state.discovery {
+                        discovery.call(call);
+                    }
+                }
+                Output::Placement(caches) => {
+                    if let Some(placement) = &state.placement {
+                        placement.send_replace(caches);
+                    }
+                }
+                Output::Draining => {
+                    self.drains.store(true, Ordering::Relaxed);
+                    self.draining.notify_one();
+                }
+                Output::Log(Note::Module(line)) => log(&line),
+                Output::Log(Note::Fault(line)) => log(&format!("fault: {line}")),
+                Output::Done => self.done.notify_one(),
+            }
+        }
+        self.index.store(state.core.index(), Ordering::Relaxed);
+        let accepts = state.core.accepts();
+        if accepts && !self.accepts.swap(accepts, Ordering::Relaxed) {
+            self.accept.notify_one();
+        } else if !accepts {
+            self.accepts.store(false, Ordering::Relaxed);
+        }
+        let next = state.core.next().unwrap_or(Micros::MAX);
+        if next < self.armed.load(Ordering::Relaxed) {
+            self.armed.store(next, Ordering::Relaxed);
+            self.earlier.notify_one();
+        }
+    }
+
+    fn link(&self, state: &mut State, id: ConnId, stream: Option<Arc<TcpStream>>, task: AbortHandle) {
+        let link = Link { stream, task: Some(task), writer: None, resume: Arc::default() };
+        state.links.insert(id, link);
+    }
+
+    // Time.
+
+    async fn sleep(self: Arc<Self>) {
+        loop {
+            let at = self.lock().core.next().unwrap_or_else(|| self.clock.now() + 1_000_000);
+            self.armed.store(at, Ordering::Relaxed);
+            tokio::select! {
+                () = sleep_until(self.clock.instant(at)) => {
+                    self.armed.store(Micros::MAX, Ordering::Relaxed);
+                    self.input(Input::Wake);
+                }
+                () = self.earlier.notified() => {}
+            }
+        }
+    }
+
+    // Connections.
+
+    /// Takes connections until the node drains, then those that the machine has already taken.
+    async fn listen(self: Arc<Self>, listener: TcpListener) {
+        loop {
+            // A table with no place left at all leaves newcomers waiting with the machine until one is free.
+            while !self.accepts.load(Ordering::Relaxed) {
+                self.accept.notified().await;
+            }
+            let draining = self.drains.load(Ordering::Relaxed);
+            let accepted = tokio::select! {
+                biased;
+                accepted = listener.accept() => accepted,
+                () = sleep(Duration::from_millis(5)), if draining => return,
+                () = self.draining.notified(), if !draining => continue,
+            };
+            match accepted {
+                Ok((stream, _)) => {
+                    let _ = stream.set_nodelay(true);
+                    let stream = Arc::new(stream);
+                    let mut state = self.lock();
+                    let id = state.core.next_id();
+                    let resume = Arc::new(Notify::new());
+                    let task = tokio::spawn(self.clone().read(id, stream.clone(), resume.clone()));
+                    let task = Some(task.abort_handle());
+                    state.links.insert(id, Link { stream: Some(stream), task, writer: None, resume });
+                    self.tell(&mut state, Input::Accepted(id));
+                    self.perform(&mut state);
+                }
+                // Out of descriptors, or the client has left: neither ends the node.
+                Err(_) => sleep(Duration::from_millis(20)).await,
+            }
+        }
+    }
+
+    async fn open(self: Arc<Self>, id: ConnId, address: SocketAddr) {
+        // The core has a time-out of its own for it, and closes it then.
+        let Ok(stream) = TcpStream::connect(address).await else { return self.ended(id) };
+        let _ = stream.set_nodelay(true);
+        let stream = Arc::new(stream);
+        let resume = {
+            let mut state = self.lock();
+            let Some(link) = state.links.get_mut(&id) else { return };
+            link.stream = Some(stream.clone());
+            let resume = link.resume.clone();
+            self.tell(&mut state, Input::Opened(id));
+            self.perform(&mut state);
+            resume
+        };
+        self.read(id, stream, resume).await;
+    }
+
+    /// A connection has ended by itself.
+    fn ended(self: &Arc<Self>, id: ConnId) {
+        let mut state = self.lock();
+        if state.links.remove(&id).is_some() {
+            self.tell(&mut state, Input::Ended(id));
+            self.perform(&mut state);
+        }
+    }
+
+    /// Brings what comes on a connection to the core, until one of them ends it.
+    async fn read(self: Arc<Self>, id: ConnId, stream: Arc<TcpStream>, resume: Arc<Notify>) {
+        loop {
+            if std::future::poll_fn(|cx| stream.poll_read_ready(cx)).await.is_err() {
+                return self.ended(id);
+            }
+            match self.receive(id, &stream) {
+                Received::Some => {}
+                Received::Paused => resume.notified().await,
+                Received::Over => return,
+            }
+        }
+    }
+
+    fn receive(self: &Arc<Self>, id: ConnId, stream: &TcpStream) -> Received {
+        let mut state = self.lock();
+        if !state.links.contains_key(&id) {
+            return Received::Over;
+        }
+        let limit = state.core.reads(id).min(SCRATCH);
+        if limit == 0 {
+            return Received::Paused;
+        }
+        let state = &mut *state;
+        let read = receive(stream, &mut state.scratch[..limit]);
+        let input = match read {
+            Ok(count) if count > 0 => Input::Bytes(id, &state.scratch[..count]),
+            read if would_block(&read) => return Received::Some,
+            _ => {
+                state.links.remove(&id);
+                Input::Ended(id)
+            }
+        };
+        let over = matches!(input, Input::Ended(_));
+        state.core.handle(self.clock.now(), input, &mut state.outputs);
+        self.perform(state);
+        if over { Received::Over } else { Received::Some }
+    }
+
+    /// Whether a connection has brought nothing; the core is told of what it has, or of its end.
+    fn drained(&self, state: &mut State, id: ConnId) -> bool {
+        let Some(stream) = state.links.get(&id).and_then(|link| link.stream.clone()) else { return false };
+        // With no look at the socket where the machine has told of nothing.
+        let read = receive(&stream, &mut state.scratch[..4096]);
+        let input = match read {
+            Ok(count) if count > 0 => Input::Bytes(id, &state.scratch[..count]),
+            read if would_block(&read) => return true,
+            _ => {
+                state.links.remove(&id);
+                Input::Ended(id)
+            }
+        };
+        state.core.handle(self.clock.now(), input, &mut state.outputs);
+        false
+    }
+
+    fn write(self: &Arc<Self>, state: &mut State, id: ConnId, mut bytes: Bytes) {
+        let Some(link) = state.links.get_mut(&id) else { return };
+        let Some(stream) = link.stream.clone() else { return };
+        let written = stream.try_write(&bytes);
+        match written {
+            Ok(count) if count == bytes.len() => return self.tell(state, Input::Flushed(id)),
+            Ok(count) => drop(bytes.split_to(count)),
+            written if would_block(&written) => {}
+            _ => {
+                state.links.remove(&id);
+                return self.tell(state, Input::Ended(id));
+            }
+        }
+        let own = self.clone();
+        let rest = async move {
+            while !bytes.is_empty() {
+                let written = match stream.writable().await {
+                    Ok(()) => stream.try_write(&bytes),
+                    Err(e) => Err(e),
+                };
+                match written {
+                    Ok(count) => drop(bytes.split_to(count)),
+                    written if would_block(&written) => {}
+                    _ => return own.ended(id),
+                }
+            }
+            own.input(Input::Flushed(id));
+        };
+        link.writer = Some(tokio::spawn(rest).abort_handle());
+    }
+}
+
+/// Reads on for a moment after the last answer: a close with input unread would reset the connection and
+/// could take the answer away from the client.
+async fn linger(stream: &TcpStream) {
+    let _ = rustix::net::shutdown(stream, rustix::net::Shutdown::Write);
+    let mut sink = vec![0u8; 16 * 1024];
+    let mut left = LINGER.1;
+    while left > 0 {
+        if stream.readable().await.is_err() {
+            return;
+        }
+        match stream.try_read(&mut sink) {
+            Ok(count) if count > 0 => left = left.saturating_sub(count),
+            read if would_block(&read) => {}
+            _ => return,
+        }
+    }
+}
--- a/crates/stonevane-node/src/lib.rs
+++ b/crates/stonevane-node/src/lib.rs
@@ -1,19 +1,12 @@
-//! One node: clients on one side, cache servers, the origin and discovery on the other, the decision module
-//! between them.
+//! One node: drives the core (`stonevane-core`) on sockets, with discovery, and with a store of record in the origin's
+//! place where the operator says so.
 
-mod backends;
 mod clock;
 mod config;
 mod copies;
 mod discovery;
-mod fronts;
-mod hub;
-mod list;
-mod memory;
-mod node;
-mod reply;
-mod request;
-mod upstreams;
+mod driver;
+mod store;
 
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
@@ -21,84 +14,60 @@
 
 use clap::Parser;
 use stonevane_config::operator::Operator;
+use stonevane_core::{Core, Input, Setup};
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
-use tokio::sync::{Notify, Semaphore, mpsc, watch};
 
-use backends::Backend;
-use backends::store::Record;
 use clock::{Clock, log};
 use config::Config;
-use fronts::Front;
-use hub::Input;
-use memory::Memory;
-use node::Node;
-use request::Phase;
-
-/// What waits between the connections and the node's loop.
-const INPUTS: usize = 1024;
-/// Requests taken and not yet answered.
-const MAX_OPEN: usize = 1024;
-/// Sockets kept back for the listener, discovery and the runtime, and for those just being closed.
-const RESERVE: usize = 16;
+use driver::Driver;
+use store::Record;
 
 async fn run(config: Config, store: Option<Arc<Record>>) -> std::io::Result<()> {
-    let (hub, inputs) = mpsc::channel(INPUTS);
-    let (phase_set, phase) = watch::channel(Phase::Starting);
     let clock = Clock::start();
-    // Clients and servers share the table of sockets; neither can take more of it than leaves the others a
-    // third at the least.
-    let places = config.sockets - (RESERVE + config.sockets / 32).min(config.sockets / 2);
-    let part = places * 2 / 3;
-    let (table, room) = (Arc::new(Semaphore::new(places)), Arc::new(Semaphore::new(part)));
     let mut terms = [signal(SignalKind::terminate())?, signal(SignalKind::interrupt())?];
     let mut hangup = signal(SignalKind::hangup())?;
     let listener = TcpListener::bind(config.listen).await?;
     log(&format!("listening on {}", listener.local_addr()?));
     let mut deployment = config.deployment.clone();
     deployment.settings.shares_fetches = store.as_ref().is_some_and(|store| store.shares());
-    let deployment = Arc::new(deployment);
-    let open = Arc::new(Semaphore::new(deployment.max_open.min(MAX_OPEN)));
-    let memory = Memory::new(config.memory_mb);
-    let front = Front {
+    let setup = Setup {
         deployment: deployment.clone(),
-        clock,
-        hub: hub.clone(),
-        phase,
-        room: room.clone(),
-        table: table.clone(),
-        refusals: (part / 8).max(1),
-        pressure: Notify::new(),
-        open,
-        memory: memory.clone(),
-        limits: config.operator.clients,
-        ids: Arc::default(),
+        seed: config.seed,
+        sockets: config.sockets,
+        memory_mb: config.memory_mb,
+        known: config.known,
+        discovery: config.discovery,
+        clients: config.operator.clients,
+        servers: config.operator.servers,
+        store: store.is_some(),
+        copies: store.as_ref().is_some_and(|store| store.copies()),
     };
-    tokio::spawn(fronts::resp::listen(listener, Arc::new(front)));
-    let signals = hub.clone();
+    let driver = Driver::new(Core::new(clock.now(), setup), clock, deployment, store.clone());
+    let signals = driver.clone();
     tokio::spawn(async move {
         let [term, int] = &mut terms;
         tokio::select! { _ = term.recv() => {}, _ = int.recv() => {} }
-        let _ = signals.send(Input::Terminate).await;
+        signals.input(Input::Terminate);
     });
-    let reloads = hub.clone();
+    let reloads = driver.clone();
     tokio::spawn(async move {
         // Against an end by SIGHUP, and against a file that can't be used: the old configuration stays.
         while hangup.recv().await.is_some() {
             match Config::again() {
-                Ok(config) => drop(reloads.send(Input::Reload(Box::new(config))).await),
+                Ok(again) => {
+                    // Discovery moves; what the module was built with stays until a restart.
+                    if again.deployment != config.deployment {
+                        log("reload: changed settings take effect at the next start");
+                    }
+                    reloads.input(Input::Move(again.discovery));
+                    log(&format!("reload: discovery is at {}", again.discovery));
+                }
                 Err(e) => log(&format!("reload: {e}; the old configuration stays in force")),
             }
         }
     });
-    // All places are free: no client is left, and nobody takes new ones. Against an answer that the last client's
-    // task has not written yet when the node ends.
-    let idle = move || room.available_permits() >= part;
-    let in_origins_place = store
-        .clone()
-        .map(|store| node::Store { placement: store.start(), backend: store as Arc<dyn Backend> });
-    let node = Node::new(config, deployment, clock, hub, (part, table), memory, in_origins_place);
-    node.run(inputs, phase_set, idle).await;
+    driver.run(listener).await;
     if let Some(store) = store {
         log(&store.done());
     }
--- a/crates/stonevane-node/src/backends/store.rs
+++ b/crates/stonevane-node/src/store.rs
@@ -10,20 +10,19 @@
 
 use bytes::Bytes;
 use oorandom::Rand64;
+use spardeal::settings::Deployment;
 use spardeal::{Effect, Micros, Status};
 use stonevane_config::operator;
+use stonevane_core::{Job, Reply};
 use stonevane_store::breaker::{self, Breaker, State, Word};
 use stonevane_store::flight::{FlightId, Flights, Joined, JoinerId, Limits};
 use stonevane_store::{Change, Edit, Postgres, Sqlite, Store, StoreError, postgres, quick, sqlite};
-use tokio::sync::{mpsc, oneshot, watch};
+use tokio::sync::{oneshot, watch};
 use tokio::task::AbortHandle;
 use tokio::time::timeout;
 
-use super::{Backend, Job, Life, Seat, cache};
 use crate::clock::log;
 use crate::copies::Teller;
-use crate::hub::Input;
-use crate::reply::{News, Reply};
 
 /// Repeats of a keyed edit are known for this long at the least, milliseconds.
 const REMEMBER_MS: u64 = 60_000;
@@ -40,6 +39,9 @@
     keep: bool,
 }
 
+/// Whom the breaker tells for how long calls are no use, microseconds; 0: it answers again.
+pub type Shut = Box<dyn Fn(Micros) + Send + Sync>;
+
 /// What a fetch brought: the value, or why there is none.
 type Fetched = Result<Value, StoreError>;
 
@@ -102,6 +104,8 @@
     guard: Mutex<Guard>,
     counts: Counts,
     own: Mutex<Own>,
+    /// Tells the decision module for how long calls are no use.
+    shut: OnceLock<Shut>,
     /// Whether fetches of one key share a query.
     shares: bool,
     /// Where caches take copies from nodes.
@@ -109,7 +113,7 @@
     copies: Option<operator::Copies>,
 }
 
-/// The store, shared by all its connections; a connection here is a place in the node's table, and no socket.
+/// The store, shared by all calls.
 pub struct Record(Arc<Inner>);
 
 impl Record {
@@ -155,12 +159,18 @@
             guard: Mutex::new(guard),
             counts: Counts::default(),
             own: Mutex::default(),
+            shut: OnceLock::new(),
             shares: told.shares,
             teller: OnceLock::new(),
             copies: told.copies,
         })))
     }
 
+    /// Whether caches are told of copies.
+    pub fn copies(&self) -> bool {
+        self.0.copies.is_some()
+    }
+
     /// Whether fetches of one key that are out at once share a query.
     pub fn shares(&self) -> bool {
         self.0.shares
@@ -168,7 +178,8 @@
 
     /// Begins to follow the store's changes, where it tells of them, and to tell caches of copies, where the operator
     /// has it so; the placement is told by what is returned.
-    pub fn start(&self) -> Option<watch::Sender<Vec<SocketAddr>>> {
+    pub fn start(&self, shut: Shut) -> Option<watch::Sender<Vec<SocketAddr>>> {
+        let _ = self.0.shut.set(shut);
         if let Some(mut changes) = self.0.store.follow() {
             let inner = self.0.clone();
             tokio::spawn(async move {
@@ -201,26 +212,14 @@
     }
 }
 
-impl Backend for Record {
-    fn connect(&self, seat: Seat) -> Life {
-        let inner = self.0.clone();
-        Box::pin(async move { carry(&inner, seat).await })
-    }
-}
-
-async fn carry(inner: &Arc<Inner>, mut seat: Seat) -> News {
-    let mut news = News::Up;
-    loop {
-        if !seat.tell(news).await {
-            return News::Lost { written: false };
-        }
-        let Some(job) = seat.jobs.recv().await else { return News::Lost { written: false } };
+impl Record {
+    /// Carries a fetch or an edit out. Dropped, it is given up.
+    pub async fn call(&self, job: Job, deployment: &Deployment) -> Reply {
         let (status, value) = match job.command.write {
-            true => edit(inner, &seat, job).await,
-            false => fetch(inner, &seat, job).await,
+            true => edit(&self.0, deployment, job).await,
+            false => fetch(&self.0, job).await,
         };
-        let load = cache::load("", &seat.deployment.load_names);
-        news = News::Answer(Reply { status, note: cache::note(""), load, value, at_least: 0, keep: true });
+        Reply { value, ..Reply::bare(status, true) }
     }
 }
 
@@ -243,7 +242,6 @@
 /// A call that the breaker has let pass. Dropped with no word, it was given up; a probe then tells nothing.
 struct Passed {
     inner: Arc<Inner>,
-    hub: mpsc::Sender<Input>,
     probe: bool,
     /// How many calls the store had answered when this one was made.
     answered: u64,
@@ -267,7 +265,7 @@
 
 impl Passed {
     /// What the call's end says of the store; the decision module is told where that changes how it stands.
-    async fn ended<T>(mut self, result: &Result<T, StoreError>) {
+    fn ended<T>(mut self, result: &Result<T, StoreError>) {
         self.probe = false;
         // Against a call that only waits too long, for a row's lock or a place in the pool: a store that has answered
         // others meanwhile has not stopped.
@@ -296,7 +294,9 @@
             }
             _ => log("store: it answers again"),
         }
-        let _ = self.hub.send(Input::OriginShut(lasts)).await;
+        if let Some(shut) = self.inner.shut.get() {
+            shut(lasts);
+        }
     }
 }
 
@@ -306,7 +306,7 @@
     }
 
     /// Asks the breaker for one call.
-    fn pass(self: &Arc<Self>, hub: &mpsc::Sender<Input>) -> Result<Passed, StoreError> {
+    fn pass(self: &Arc<Self>) -> Result<Passed, StoreError> {
         let word = {
             let mut guard = self.guard();
             let now = guard.now();
@@ -317,7 +317,7 @@
             passes => {
                 let probe = passes == Word::Probe;
                 let answered = self.store.answered();
-                Ok(Passed { inner: self.clone(), hub: hub.clone(), probe, answered })
+                Ok(Passed { inner: self.clone(), probe, answered })
             }
         }
     }
@@ -393,9 +393,9 @@
     }
 
     /// Waits for the value of a key with all others that do.
-    async fn shared(self: &Arc<Self>, key: String, hub: &mpsc::Sender<Input>) -> Fetched {
+    async fn shared(self: &Arc<Self>, key: String) -> Fetched {
         if !self.shares {
-            let fetched = self.ask(&key, hub).await;
+            let fetched = self.ask(&key).await;
             // With no flight there is no fence: no cache may keep it.
             return fetched.map(|value| Value { keep: false, ..value });
         }
@@ -409,7 +409,7 @@
                 Joined::Waits(_) => drop(self.counts.joined.fetch_add(1, Ordering::Relaxed)),
                 Joined::Begins(flight) => {
                     // A task of its own: whoever asked first may leave.
-                    let fetch = tokio::spawn(self.clone().fly(flight, key, hub.clone()));
+                    let fetch = tokio::spawn(self.clone().fly(flight, key));
                     sharing.fetching.insert(flight, fetch.abort_handle());
                 }
             }
@@ -422,13 +422,13 @@
     }
 
     /// Asks the store.
-    async fn ask(self: &Arc<Self>, key: &str, hub: &mpsc::Sender<Input>) -> Fetched {
-        let zone = match self.pass(hub) {
+    async fn ask(self: &Arc<Self>, key: &str) -> Fetched {
+        let zone = match self.pass() {
             Ok(passed) => {
                 self.counts.queries.fetch_add(1, Ordering::Relaxed);
                 let zone =
                     timeout(self.stall, self.store.get(key)).await.unwrap_or(Err(StoreError::TimedOut));
-                passed.ended(&zone).await;
+                passed.ended(&zone);
                 zone
             }
             Err(e) => Err(e),
@@ -441,8 +441,8 @@
     }
 
     /// Asks the store, and tells all who wait.
-    async fn fly(self: Arc<Self>, flight: FlightId, key: String, hub: mpsc::Sender<Input>) {
-        let fetched = self.ask(&key, &hub).await;
+    async fn fly(self: Arc<Self>, flight: FlightId, key: String) {
+        let fetched = self.ask(&key).await;
         let mut sharing = self.sharing();
         sharing.fetching.remove(&flight);
         let Some(landed) = sharing.flights.landed(flight) else { return };
@@ -455,17 +455,17 @@
     }
 }
 
-async fn fetch(inner: &Arc<Inner>, seat: &Seat, job: Job) -> (Status, Option<Bytes>) {
+async fn fetch(inner: &Arc<Inner>, job: Job) -> (Status, Option<Bytes>) {
     let key = match text(&job.command.key) {
         Ok(key) => key,
         Err(e) => return failed(&e, false),
     };
-    let mut fetched = inner.shared(key.clone(), &seat.hub).await;
+    let mut fetched = inner.shared(key.clone()).await;
     // Against a shared fetch from before an edit on another node, which this request's cache knows of: whatever begins
     // now began after that edit's receipt.
     if matches!(&fetched, Ok(value) if value.version < job.at_least) {
         inner.counts.again.fetch_add(1, Ordering::Relaxed);
-        fetched = inner.shared(key.clone(), &seat.hub).await;
+        fetched = inner.shared(key.clone()).await;
     }
     match fetched {
         // A copy of the store that lags, and does not know it.
@@ -491,8 +491,8 @@
     }
 }
 
-async fn edit(inner: &Arc<Inner>, seat: &Seat, job: Job) -> (Status, Option<Bytes>) {
-    let class = seat.deployment.settings.classes.get(job.command.class);
+async fn edit(inner: &Arc<Inner>, deployment: &Deployment, job: Job) -> (Status, Option<Bytes>) {
+    let class = deployment.settings.classes.get(job.command.class);
     let window = match class.map(|class| &class.effect) {
         Some(Effect::Keyed { window, .. }) => window / 1_000,
         _ => 0,
@@ -504,7 +504,7 @@
     };
     let value = job.command.value.as_ref().map(|value| value.to_vec()).unwrap_or_default();
     let edit = Edit { key: key.clone(), value, token, remember_ms: window.max(REMEMBER_MS) };
-    let passed = match inner.pass(&seat.hub) {
+    let passed = match inner.pass() {
         Ok(passed) => passed,
         Err(e) => return failed(&e, true),
     };
@@ -534,7 +534,7 @@
         Ok(done) => done.unwrap_or((Err(StoreError::Closed), None)),
         Err(_) => (Err(StoreError::TimedOut), None),
     };
-    passed.ended(&done).await;
+    passed.ended(&done);
     let receipt = match done {
         Ok(receipt) => receipt,
         Err(e) => return failed(&e, true),
--- a/crates/stonevane-node/tests/rooms.rs
+++ b/crates/stonevane-node/tests/rooms.rs
@@ -40,11 +40,16 @@
 
 #[test]
 fn no_two_rooms_import_each_other() {
-    let mut found = BTreeMap::new();
-    imports(&Path::new(env!("CARGO_MANIFEST_DIR")).join("src"), None, &mut found);
-    assert!(found.len() > 8 && found["node"].contains("hub"), "the rooms were read: {found:?}");
-    assert_eq!(circle(found.clone()), Vec::<String>::new(), "{found:?}");
-    found.get_mut("hub").unwrap().insert("node".into());
-    let seen = circle(found);
-    assert!(seen.contains(&"hub".into()) && seen.contains(&"node".into()), "a circle is seen: {seen:?}");
+    let crates = Path::new(env!("CARGO_MANIFEST_DIR")).parent().unwrap();
+    for (package, rooms, (above, below)) in
+        [("stonevane-node", 5, ("driver", "store")), ("stonevane-core", 8, ("node", "servers"))]
+    {
+        let mut found = BTreeMap::new();
+        imports(&crates.join(package).join("src"), None, &mut found);
+        assert!(found.len() > rooms && found[above].contains(below), "the rooms were read: {found:?}");
+        assert_eq!(circle(found.clone()), Vec::<String>::new(), "{found:?}");
+        found.get_mut(below).unwrap().insert(above.into());
+        let seen = circle(found);
+        assert!(seen.contains(&above.into()) && seen.contains(&below.into()), "a circle is seen: {seen:?}");
+    }
 }
--- /dev/null
+++ b/crates/stonevane-sim/src/discovery.rs
@@ -0,0 +1,54 @@
+//! Discovery: who there is, and since which version.
+
+use stonevane_core::{Endpoint, Listing};
+
+/// One entry, and the version at which it last changed.
+#[derive(Debug, Clone)]
+pub struct Entry {
+    pub name: String,
+    pub address: String,
+    pub origin: bool,
+    pub status: &'static str,
+    /// The moment of its start, 0 for long ago, in microseconds of the run.
+    pub since: u64,
+    pub index: u64,
+}
+
+/// What discovery knows.
+pub struct Discovery {
+    pub entries: Vec<Entry>,
+    pub index: u64,
+    /// It answers no calls.
+    pub down: bool,
+    /// It tells changes out of order.
+    pub old_news: bool,
+}
+
+impl Discovery {
+    /// It learns of a change.
+    pub fn change(&mut self, name: &str, status: &'static str, since: Option<u64>) {
+        self.index += 1;
+        if let Some(entry) = self.entries.iter_mut().find(|entry| entry.name == name) {
+            (entry.status, entry.index) = (status, self.index);
+            entry.since = since.unwrap_or(entry.since);
+        }
+    }
+
+    /// What changed after a version, or all of it; `epoch`: the moment 0 of the run, Unix time in microseconds.
+    pub fn listing(&self, after: u64, epoch: u64) -> (Listing, Vec<Entry>) {
+        let told: Vec<Entry> =
+            self.entries.iter().filter(|entry| after == 0 || entry.index > after).cloned().collect();
+        let endpoints = told.iter().map(|entry| Endpoint {
+            name: entry.name.clone(),
+            address: entry.address.clone(),
+            zone: "a".into(),
+            kind: if entry.origin { "origin" } else { "cache" }.into(),
+            group: 0,
+            status: entry.status.into(),
+            weight: 1.0,
+            since_ms: if entry.since == 0 { 0 } else { (epoch + entry.since) / 1_000 },
+        });
+        let endpoints = endpoints.collect();
+        (Listing { index: self.index, snapshot: after == 0, endpoints }, told)
+    }
+}
--- /dev/null
+++ b/crates/stonevane-sim/src/plan.rs
@@ -0,0 +1,279 @@
+//! What is simulated: the fleet, its load, and what goes wrong when, all drawn from one seed or read from a file.
+
+use oorandom::Rand64;
+use serde::{Deserialize, Serialize};
+
+/// Something that goes wrong.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case", tag = "do")]
+pub enum What {
+    /// A cache is killed, and starts again cold.
+    KillCache {
+        /// Which.
+        cache: usize,
+    },
+    /// A cache's process is replaced by a cold one at the same address, of which discovery hears late.
+    ReplaceCache {
+        /// Which.
+        cache: usize,
+    },
+    /// A cache takes requests and says nothing.
+    SilentCache {
+        /// Which.
+        cache: usize,
+    },
+    /// A cache's machine vanishes: nothing is answered, no connection comes up.
+    VanishCache {
+        /// Which.
+        cache: usize,
+    },
+    /// Discovery says that a cache drains; when it ends, that it is active.
+    DrainCache {
+        /// Which.
+        cache: usize,
+    },
+    /// A cache resets connections in the middle of an answer.
+    TearCache {
+        /// Which.
+        cache: usize,
+        /// Of so many answers, one.
+        every: u64,
+    },
+    /// A cache sends bytes behind a whole answer.
+    NoisyCache {
+        /// Which.
+        cache: usize,
+    },
+    /// A cache's answers are spoilt.
+    GarbleCache {
+        /// Which.
+        cache: usize,
+    },
+    /// A node is killed, and starts again with the list it had at the begin of the run.
+    KillNode {
+        /// Which.
+        node: usize,
+    },
+    /// A node is told to end, and starts again.
+    TermNode {
+        /// Which.
+        node: usize,
+    },
+    /// A node's process stands still, with all its timers.
+    PauseNode {
+        /// Which.
+        node: usize,
+    },
+    /// The origin does nothing.
+    StallOrigin,
+    /// The origin resets connections without an answer, of so many requests one; the request has run.
+    TearOrigin {
+        /// Of so many answers, one.
+        every: u64,
+    },
+    /// Calls to discovery fail, and its watches break.
+    NoDiscovery,
+    /// Discovery tells changes in the wrong order now and then.
+    OldNews,
+    /// Clients give up long before their time is over.
+    Impatient,
+    /// Clients connect and say nothing, so many a second.
+    Crowd {
+        /// So many.
+        per_s: u64,
+    },
+}
+
+/// A fault, and when.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct Fault {
+    /// When it begins, microseconds.
+    pub at: u64,
+    /// For how long, microseconds.
+    pub lasts: u64,
+    /// What it is.
+    #[serde(flatten)]
+    pub what: What,
+}
+
+/// All of a run.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Plan {
+    /// Of all random numbers within the run.
+    pub seed: u64,
+    /// Nodes.
+    pub nodes: usize,
+    /// Caches.
+    pub caches: usize,
+    /// How long clients ask, microseconds.
+    pub length: u64,
+    /// Requests a second, over all nodes.
+    pub per_s: f64,
+    /// Part of them that are keyed edits.
+    pub edits: f64,
+    /// Part of them that must not run twice.
+    pub moves: f64,
+    /// Keys.
+    pub keys: u64,
+    /// Part of the keys that caches hold at the begin.
+    pub warm: f64,
+    /// Requests that are sent before the answers to those before them on their connection have come, as a part.
+    pub pipelined: f64,
+    /// The delay of the network, the shortest and the longest, microseconds.
+    pub delay: (u64, u64),
+    /// Part of all writes that come in pieces.
+    pub split: f64,
+    /// Part of all writes that the machine takes late.
+    pub slow: f64,
+    /// How fast each node's clock runs, a part more or less than it should.
+    pub clocks: Vec<f64>,
+    /// Sockets of a node.
+    pub sockets: usize,
+    /// Memory of a node, megabytes.
+    pub memory_mb: usize,
+    /// The longest value, bytes.
+    pub value: usize,
+    /// What goes wrong, in the order of time.
+    pub faults: Vec<Fault>,
+}
+
+/// From the last fault's end to the end of the load: time to be whole again.
+const TAIL: u64 = 9_000_000;
+
+impl Plan {
+    /// The plan of a seed: each has a random subset of the faults switched on, with random rates (swarm testing;
+    /// Groce et al., 2012).
+    pub fn draw(seed: u64) -> Plan {
+        let mut rng = Rand64::new(u128::from(seed) << 1 | 1);
+        let nodes = rng.rand_range(1..5) as usize;
+        let caches = rng.rand_range(2..9) as usize;
+        let faulty = rng.rand_range(2_000_000..6_000_000);
+        let pick = |rng: &mut Rand64, values: &[f64]| values[rng.rand_range(0..values.len() as u64) as usize];
+        let mut plan = Plan {
+            seed,
+            nodes,
+            caches,
+            length: 0,
+            per_s: 20.0 + 15.0 * caches as f64 * rng.rand_float(),
+            edits: pick(&mut rng, &[0.0, 0.05, 0.2]),
+            moves: pick(&mut rng, &[0.0, 0.05, 0.2]),
+            keys: rng.rand_range(5..400),
+            warm: pick(&mut rng, &[0.0, 0.5, 1.0, 1.0]),
+            pipelined: pick(&mut rng, &[0.0, 0.2, 0.6]),
+            delay: (100, [300, 2_000, 10_000][rng.rand_range(0..3) as usize]),
+            split: pick(&mut rng, &[0.0, 0.1, 0.5]),
+            slow: pick(&mut rng, &[0.0, 0.0, 0.05]),
+            clocks: (0..nodes).map(|_| pick(&mut rng, &[0.0, 0.0, 0.1, 0.01, -0.001])).collect(),
+            sockets: [48, 96, 256][rng.rand_range(0..3) as usize],
+            memory_mb: [16, 32, 64][rng.rand_range(0..3) as usize],
+            value: [24, 24, 400, 9_000, 60_000][rng.rand_range(0..5) as usize],
+            faults: Vec::new(),
+        };
+        let cache = |rng: &mut Rand64| rng.rand_range(0..caches as u64) as usize;
+        let node = |rng: &mut Rand64| rng.rand_range(0..nodes as u64) as usize;
+        for kind in 0..17u64 {
+            if rng.rand_float() > 0.3 {
+                continue;
+            }
+            for _ in 0..rng.rand_range(1..4) {
+                let at = 500_000 + rng.rand_range(0..faulty);
+                let lasts = rng.rand_range(50_000..2_500_000);
+                let what = match kind {
+                    0 => What::KillCache { cache: cache(&mut rng) },
+                    1 => What::ReplaceCache { cache: cache(&mut rng) },
+                    2 => What::SilentCache { cache: cache(&mut rng) },
+                    3 => What::VanishCache { cache: cache(&mut rng) },
+                    4 => What::DrainCache { cache: cache(&mut rng) },
+                    5 => What::TearCache { cache: cache(&mut rng), every: rng.rand_range(1..8) },
+                    6 => What::NoisyCache { cache: cache(&mut rng) },
+                    7 => What::GarbleCache { cache: cache(&mut rng) },
+                    8 => What::KillNode { node: node(&mut rng) },
+                    9 => What::TermNode { node: node(&mut rng) },
+                    10 => What::PauseNode { node: node(&mut rng) },
+                    11 => What::StallOrigin,
+                    12 => What::TearOrigin { every: rng.rand_range(1..6) },
+                    13 => What::NoDiscovery,
+                    14 => What::OldNews,
+                    15 => What::Impatient,
+                    _ => What::Crowd { per_s: rng.rand_range(20..200) },
+                };
+                plan.faults.push(Fault { at, lasts, what });
+            }
+        }
+        plan.faults.sort_by_key(|fault| fault.at);
+        plan.length = plan.faults.iter().map(|fault| fault.at + fault.lasts).max().unwrap_or(0) + TAIL;
+        plan
+    }
+
+    /// When its last fault has ended.
+    pub fn quiet_from(&self) -> u64 {
+        self.faults.iter().map(|fault| fault.at + fault.lasts).max().unwrap_or(0)
+    }
+
+    /// As a file has it.
+    pub fn text(&self) -> String {
+        serde_json::to_string_pretty(self).unwrap_or_default()
+    }
+
+    /// Reads a file.
+    ///
+    /// # Errors
+    /// What is wrong with it, with its line.
+    pub fn parse(text: &str) -> Result<Plan, String> {
+        let plan: Plan = serde_json::from_str(text).map_err(|e| e.to_string())?;
+        let bounds = [
+            ("nodes", plan.nodes as f64, 1.0, 64.0),
+            ("caches", plan.caches as f64, 1.0, 200.0),
+            ("length", plan.length as f64, 1.0, 600e6),
+            ("per_s", plan.per_s, 0.1, 10_000.0),
+            ("edits", plan.edits, 0.0, 1.0),
+            ("moves", plan.moves, 0.0, 1.0),
+            ("keys", plan.keys as f64, 1.0, 1e6),
+            ("warm", plan.warm, 0.0, 1.0),
+            ("pipelined", plan.pipelined, 0.0, 1.0),
+            ("split", plan.split, 0.0, 1.0),
+            ("slow", plan.slow, 0.0, 1.0),
+            ("sockets", plan.sockets as f64, 32.0, 1024.0),
+            ("memory_mb", plan.memory_mb as f64, 16.0, 4096.0),
+            ("value", plan.value as f64, 1.0, 65_536.0),
+            ("clocks", plan.clocks.len() as f64, plan.nodes as f64, plan.nodes as f64),
+        ];
+        for (name, value, least, most) in bounds {
+            if !(least..=most).contains(&value) {
+                return Err(format!("`{name}` is {value}, and is to be from {least} to {most}"));
+            }
+        }
+        if plan.clocks.iter().any(|rate| !(-0.5..=0.5).contains(rate)) || plan.delay.0 > plan.delay.1 {
+            return Err("`clocks` are to be from -0.5 to 0.5, and `delay` the shortest first".into());
+        }
+        for (at, fault) in plan.faults.iter().enumerate() {
+            let (cache, node) = fault.what.whom();
+            if cache.is_some_and(|cache| cache >= plan.caches) || node.is_some_and(|node| node >= plan.nodes)
+            {
+                return Err(format!("fault {}: there is no such cache or node: {:?}", at + 1, fault.what));
+            }
+        }
+        Ok(plan)
+    }
+}
+
+impl What {
+    /// The cache or the node that it is about.
+    pub fn whom(self) -> (Option<usize>, Option<usize>) {
+        match self {
+            What::KillCache { cache }
+            | What::ReplaceCache { cache }
+            | What::SilentCache { cache }
+            | What::VanishCache { cache }
+            | What::DrainCache { cache }
+            | What::TearCache { cache, .. }
+            | What::NoisyCache { cache }
+            | What::GarbleCache { cache } => (Some(cache), None),
+            What::KillNode { node } | What::TermNode { node } | What::PauseNode { node } => {
+                (None, Some(node))
+            }
+            _ => (None, None),
+        }
+    }
+}
--- /dev/null
+++ b/crates/stonevane-sim/src/world.rs
@@ -0,0 +1,1551 @@
+//! The world of one run: everything that happens has a moment and a place in the order of that moment, and nothing
+//! depends on anything else.
+
+use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::net::{Ipv4Addr, SocketAddr};
+
+use bytes::BytesMut;
+use oorandom::Rand64;
+use spardeal::settings::Deployment;
+use spardeal::{Class, Effect as Keeps, Group, Settings, Tenant};
+use stonevane_audit::{
+    Auditor, ClassRule, Effect, Event, Kind, Line, OriginRule, Outcome, Report, Rules, Scope, Span,
+};
+use stonevane_codec::resp::{self, Value};
+use stonevane_config::operator;
+use stonevane_core::{Ask, ConnId, Core, Input, Listing, Mutant, Note, Output, Outputs, Setup};
+
+use crate::clients::{BACKOFF, CLASSES, TRIES, Wish};
+use crate::discovery::{Discovery, Entry};
+use crate::plan::{Plan, What};
+use crate::servers::{self, Asked, COLD, KEYED, Server, Work};
+use crate::wire::{Chunk, Peer, Wire, WireId};
+
+/// Unix time at the moment 0 of a run, microseconds.
+const EPOCH: u64 = 1_790_000_000_000_000;
+/// How late discovery learns of a change.
+const LATE: u64 = 1_000_000;
+/// How long a call to discovery takes.
+const CALL: u64 = 150_000;
+/// How long a node reads on after its last answer.
+const LINGER: u64 = 200_000;
+/// A client that had no answer closes its connection so long after its time.
+const PATIENCE: u64 = 300_000;
+/// How long a node that has ended stays away.
+const AWAY: u64 = 300_000;
+/// After the load, until all must be quiet.
+const QUIET: u64 = 4_000_000;
+/// The last part of the load, in which clients must be served again ...
+const JUDGED: u64 = 3_000_000;
+/// ... this part of the reads at the least.
+const SERVED: f64 = 0.9;
+/// Steps of one run, at most: more is a loop.
+const STEPS: u64 = 20_000_000;
+
+/// How a run is made.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Options {
+    /// What the core does wrong on purpose.
+    pub mutant: Option<Mutant>,
+    /// Whether the history is kept as text.
+    pub history: bool,
+}
+
+/// What a run showed.
+#[derive(Debug, Clone)]
+pub struct Verdict {
+    /// The auditor's word.
+    pub report: Report,
+    /// Invariants that were broken, the first of each kind.
+    pub broken: Vec<String>,
+    /// Requests that clients had, and those that were served.
+    pub wishes: usize,
+    /// Of them served.
+    pub served: usize,
+    /// Steps of the world.
+    pub steps: u64,
+    /// Simulated time, microseconds.
+    pub time: u64,
+    /// A digest of the history.
+    pub digest: u64,
+    /// The history, where it was to be kept.
+    pub history: String,
+}
+
+impl Verdict {
+    /// Whether all holds.
+    pub fn holds(&self) -> bool {
+        self.report.holds() && self.report.faulty == 0 && self.broken.is_empty()
+    }
+
+    /// What failed, in one word: a code of the auditor's or the kind of an invariant.
+    pub fn code(&self) -> Option<String> {
+        let finding = self.report.findings.first().map(|finding| finding.code.to_owned());
+        let fault = self.report.faults.first().map(|fault| format!("stand-in:{}", fault.code));
+        let kind = |what: &String| what.split(':').next().unwrap_or_default().to_owned();
+        finding.or(fault).or_else(|| self.broken.first().map(kind))
+    }
+}
+
+/// What happens.
+enum Ev {
+    /// Something arrives at the node's end, or at the peer's.
+    ToNode(WireId, Chunk),
+    ToPeer(WireId, Chunk),
+    Connected(WireId, bool),
+    Flushed(WireId),
+    Lingered(WireId),
+    /// A client's connection reaches a node.
+    Knock(WireId),
+    Wake(usize, u64),
+    /// A server's work is done.
+    Done(WireId, u64, Box<(Asked, Work)>),
+    /// More bytes of a server, of so many lives.
+    Noise(WireId, Vec<u8>),
+    Arrive,
+    Try(usize),
+    Expire(usize, String),
+    Fault(usize, bool),
+    Start(usize),
+    Knows(String, &'static str, Option<u64>),
+    /// Discovery's word reaches a node.
+    Told(usize, u64, u64, Option<Listing>),
+    /// A call reaches discovery.
+    Called(usize, u64, u64, Ask),
+    Crowd(usize),
+}
+
+struct Node {
+    core: Option<Core<Option<Mutant>>>,
+    life: u64,
+    paused: bool,
+    /// What happened while it stood still.
+    missed: Vec<Ev>,
+    /// When it is woken next.
+    wake: u64,
+    /// Its connections, by its own names.
+    wires: HashMap<ConnId, WireId>,
+    /// Those that the machine has taken and it has not.
+    backlog: VecDeque<WireId>,
+    listens: bool,
+    /// Whether it watches, since when, and which version it was told last.
+    watch: Option<(u64, u64)>,
+    ended: bool,
+    /// Its clock, parts in a million more than it should be.
+    ppm: i64,
+    /// Clients' connections that may be used again.
+    idle: Vec<WireId>,
+}
+
+/// The world.
+struct World<'a> {
+    plan: &'a Plan,
+    options: Options,
+    now: u64,
+    order: u64,
+    queue: BTreeMap<(u64, u64), Ev>,
+    rng: Rand64,
+    nodes: Vec<Node>,
+    servers: Vec<Server>,
+    discovery: Discovery,
+    wires: HashMap<WireId, Wire>,
+    next_wire: WireId,
+    wishes: Vec<Wish>,
+    auditor: Auditor,
+    lines: usize,
+    history: String,
+    digest: u64,
+    broken: Vec<String>,
+    impatient: u32,
+    crowd: u32,
+    steps: u64,
+    value: String,
+    digest_of_value: String,
+}
+
+/// Plays a plan.
+pub fn run(plan: &Plan, options: Options) -> Verdict {
+    let mut world = World::new(plan, options);
+    world.begin();
+    world.play();
+    world.end()
+}
+
+fn rules() -> Rules {
+    let class = |name: &str, kind| ClassRule { name: name.into(), kind, scope: Scope::All, window_us: KEYED };
+    Rules {
+        classes: vec![
+            class(CLASSES[0].0, Kind::Safe),
+            class(CLASSES[1].0, Kind::Keyed),
+            class(CLASSES[2].0, Kind::Unsafe),
+        ],
+        origin: OriginRule { capacity_us_per_s: 4e6, ..OriginRule::default() },
+        exit_us: 3_200_000,
+        max_attempts: 4,
+        ..Rules::default()
+    }
+}
+
+fn deployment(plan: &Plan, me: usize) -> Deployment {
+    let class = |(_, deadline, _, keyed, again): (&str, u64, bool, bool, bool)| Class {
+        aim: deadline / 2,
+        deadline,
+        worth: 1.0,
+        late_worth: 0.5,
+        effect: match (keyed, again) {
+            (true, _) => Keeps::Keyed { group: Group::All, window: KEYED },
+            (false, true) => Keeps::Safe,
+            (false, false) => Keeps::Unsafe,
+        },
+    };
+    let settings = Settings {
+        balancers: plan.nodes as u32,
+        me: me as u32,
+        classes: CLASSES.map(class).to_vec(),
+        tenants: vec![Tenant { quota_per_s: plan.per_s * 2.0 + 100.0 }],
+        ask_discovery: true,
+        ask_within: 6_000_000,
+        origin_kind: Some(1),
+        max_attempts: 4,
+        may_cancel: true,
+        max_retry_after: 1_500_000,
+        tick: 2_000,
+        cold_share: COLD.0,
+        warm_up: COLD.1,
+        fall_multiple: 3.0,
+        fall_after: 2_000_000,
+        drain_grace: 500_000,
+        ..Settings::default()
+    };
+    let names = |names: &[&str]| names.iter().map(|name| (*name).to_owned()).collect::<Vec<_>>();
+    Deployment {
+        settings,
+        classes: names(&CLASSES.map(|class| class.0)),
+        tenants: names(&["all"]),
+        zones: names(&["a"]),
+        kinds: names(&["cache", "origin"]),
+        load_names: Vec::new(),
+        connect_timeout: 100_000,
+        idle_close: 10_000_000,
+        max_open: 1_024,
+    }
+}
+
+impl<'a> World<'a> {
+    fn new(plan: &'a Plan, options: Options) -> World<'a> {
+        let address = |net: u8, at: usize| {
+            SocketAddr::from((Ipv4Addr::new(10, net, (at / 200) as u8, (at % 200 + 1) as u8), 6379))
+        };
+        let mut servers: Vec<_> =
+            (0..plan.caches).map(|at| Server::new(&format!("s-{at}"), address(1, at), false)).collect();
+        servers.push(Server::new("origin", address(2, 0), true));
+        let held = (plan.keys as f64 * plan.warm) as u64;
+        for server in &mut servers {
+            let keys = (0..held).map(|key| (format!("{:016x}", key + 1), 0));
+            server.holds = if server.origin { BTreeMap::new() } else { keys.collect() };
+        }
+        let entries = servers.iter().map(|server| Entry {
+            name: server.name.clone(),
+            address: server.address.to_string(),
+            origin: server.origin,
+            status: "active",
+            since: 0,
+            index: 1,
+        });
+        let discovery = Discovery { entries: entries.collect(), index: 1, down: false, old_news: false };
+        let node = |at: usize| Node {
+            core: None,
+            life: 0,
+            paused: false,
+            missed: Vec::new(),
+            wake: u64::MAX,
+            wires: HashMap::new(),
+            backlog: VecDeque::new(),
+            listens: false,
+            watch: None,
+            ended: false,
+            ppm: (plan.clocks.get(at).copied().unwrap_or(0.0) * 1e6) as i64,
+            idle: Vec::new(),
+        };
+        let value = servers::padded("v", plan.value);
+        World {
+            plan,
+            options,
+            now: 0,
+            order: 0,
+            queue: BTreeMap::new(),
+            rng: Rand64::new(u128::from(plan.seed) ^ 0x5eed),
+            nodes: (0..plan.nodes).map(node).collect(),
+            servers,
+            discovery,
+            wires: HashMap::new(),
+            next_wire: 1,
+            wishes: Vec::new(),
+            auditor: Auditor::new(rules()),
+            lines: 1,
+            history: String::new(),
+            digest: 0,
+            broken: Vec::new(),
+            impatient: 0,
+            crowd: 0,
+            steps: 0,
+            digest_of_value: servers::value_digest(value.as_bytes()),
+            value,
+        }
+    }
+
+    // Time and the history.
+
+    fn push(&mut self, at: u64, ev: Ev) {
+        self.order += 1;
+        self.queue.insert((at.max(self.now), self.order), ev);
+    }
+
+    fn line(&mut self, line: Line) {
+        let t = Span { begun: if line.t.begun == 0 { self.now } else { line.t.begun }, ended: self.now };
+        let line = Line { t, ..line };
+        self.lines += 1;
+        let words = (t.begun, line.event as u8, &line.request, &line.node, &line.value, line.number);
+        let words = format!("{words:?}{}{}{:?}", line.who, line.state, line.outcome);
+        self.digest = xxhash_rust::xxh3::xxh3_64_with_seed(words.as_bytes(), self.digest);
+        if self.options.history {
+            self.history.push_str(&line.text());
+        }
+        self.auditor.line(self.lines, line);
+    }
+
+    fn who(&self, who: &str, event: Event) -> Line {
+        Line { who: who.into(), event, ..Line::default() }
+    }
+
+    /// An invariant is broken; the first of each kind is kept.
+    fn breach(&mut self, kind: &str, what: String) {
+        if !self.broken.iter().any(|known| known.starts_with(kind)) {
+            self.broken.push(format!("{kind}: {what}, at {} us", self.now));
+        }
+    }
+
+    fn delay(&mut self) -> u64 {
+        let (least, most) = self.plan.delay;
+        self.rng.rand_range(least..most.max(least) + 1)
+    }
+
+    fn chance(&mut self, part: f64) -> bool {
+        part > 0.0 && self.rng.rand_float() < part
+    }
+
+    fn begin(&mut self) {
+        if self.options.history {
+            let line = Line { rules: Some(Box::new(rules())), ..self.who("lab", Event::Begin) };
+            self.history.push_str(&line.text());
+        }
+        for at in 0..self.servers.len() {
+            self.tell_start(at);
+        }
+        for entry in self.discovery.entries.clone() {
+            let line =
+                Line { server: entry.name, status: "active".into(), ..self.who("discovery", Event::Change) };
+            self.line(line);
+        }
+        for node in 0..self.nodes.len() {
+            self.start(node);
+        }
+        for (at, fault) in self.plan.faults.iter().enumerate() {
+            let (begins, ends) = (fault.at, fault.at + fault.lasts);
+            self.push(begins, Ev::Fault(at, true));
+            self.push(ends, Ev::Fault(at, false));
+        }
+        self.push(10_000, Ev::Arrive);
+    }
+
+    fn play(&mut self) {
+        let end = self.plan.length + QUIET;
+        while let Some(((at, _), ev)) = self.queue.pop_first() {
+            if at > end {
+                break;
+            }
+            self.now = at;
+            self.steps += 1;
+            if self.steps > STEPS {
+                self.breach("endless", format!("{STEPS} steps"));
+                break;
+            }
+            self.happen(ev);
+        }
+    }
+
+    fn end(mut self) -> Verdict {
+        self.now = self.plan.length + QUIET;
+        for node in 0..self.nodes.len() {
+            let Some(core) = &self.nodes[node].core else { continue };
+            let count = core.count();
+            if count.owed + count.open + count.attempts + count.ids + count.memory > 0 {
+                self.breach("left", format!("node {node} holds {count:?} when all is quiet"));
+            }
+        }
+        let from = self.plan.length.saturating_sub(JUDGED).max(self.plan.quiet_from());
+        let late: Vec<_> = self.wishes.iter().filter(|wish| wish.begun >= from && wish.class == 0).collect();
+        let served = late.iter().filter(|wish| wish.served).count();
+        if late.len() >= 20 && (served as f64) < SERVED * late.len() as f64 {
+            let what = format!("{served} of {} reads served long after the last fault", late.len());
+            self.breach("progress", what);
+        }
+        let line = self.who("lab", Event::End);
+        self.line(line);
+        let served = self.wishes.iter().filter(|wish| wish.served).count();
+        Verdict {
+            report: self.auditor.finish(),
+            broken: self.broken,
+            wishes: self.wishes.len(),
+            served,
+            steps: self.steps,
+            time: self.now,
+            digest: self.digest,
+            history: self.history,
+        }
+    }
+
+    fn happen(&mut self, ev: Ev) {
+        match ev {
+            Ev::ToNode(wire, chunk) => self.at_node(wire, chunk),
+            Ev::ToPeer(wire, chunk) => self.at_peer(wire, chunk),
+            Ev::Connected(wire, up) => self.connected(wire, up),
+            Ev::Flushed(wire) => self.of_wire(wire, Ev::Flushed, |id| Input::Flushed(id)),
+            Ev::Lingered(wire) => self.lingered(wire),
+            Ev::Knock(wire) => self.knock(wire),
+            Ev::Wake(node, life) => self.wake(node, life),
+            Ev::Done(wire, life, done) => self.done(wire, life, *done),
+            Ev::Noise(wire, bytes) => self.server_says(wire, bytes),
+            Ev::Arrive => self.arrive(),
+            Ev::Try(wish) => self.try_wish(wish),
+            Ev::Expire(wish, id) => self.expire(wish, &id),
+            Ev::Fault(at, begins) => self.fault(at, begins),
+            Ev::Start(node) => self.start(node),
+            Ev::Knows(name, status, since) => self.knows(name, status, since),
+            Ev::Told(node, life, era, listing) => self.told(node, life, era, listing),
+            Ev::Called(node, life, era, ask) => self.called(node, life, era, ask),
+            Ev::Crowd(at) => self.come(at),
+        }
+    }
+
+    // Nodes.
+
+    fn clock(&self, node: usize) -> u64 {
+        let ppm = self.nodes[node].ppm;
+        (EPOCH + self.now).saturating_add_signed(self.now as i64 * ppm / 1_000_000)
+    }
+
+    /// When a node's clock shows a time.
+    fn moment(&self, node: usize, at: u64) -> u64 {
+        let (ppm, passed) = (self.nodes[node].ppm, at.saturating_sub(EPOCH));
+        let real = (u128::from(passed) * 1_000_000 / (1_000_000 + ppm).max(1) as u128) as u64;
+        // Rounded so that the time has come then.
+        real + 1
+    }
+
+    fn name(node: usize) -> String {
+        format!("n{node}")
+    }
+
+    fn state(&mut self, node: usize, state: &str) {
+        let line = Line { node: Self::name(node), state: state.into(), ..self.who("lab", Event::Node) };
+        self.line(line);
+    }
+
+    fn start(&mut self, node: usize) {
+        let plan = self.plan;
+        let known = Discovery {
+            entries: (0..self.servers.len())
+                .map(|at| Entry {
+                    name: self.servers[at].name.clone(),
+                    address: self.servers[at].address.to_string(),
+                    origin: self.servers[at].origin,
+                    status: "active",
+                    since: 0,
+                    index: 1,
+                })
+                .collect(),
+            index: 1,
+            down: false,
+            old_news: false,
+        };
+        let setup = Setup {
+            deployment: deployment(plan, node),
+            seed: plan.seed ^ (self.nodes[node].life << 32) ^ node as u64,
+            sockets: plan.sockets,
+            memory_mb: plan.memory_mb,
+            known: known.listing(0, EPOCH).0,
+            discovery: SocketAddr::from(([10, 4, 0, 1], 8_500)),
+            clients: operator::Clients::default(),
+            servers: operator::Servers::default(),
+            store: false,
+            copies: false,
+        };
+        self.state(node, "starting");
+        let now = self.clock(node);
+        let core = Core::with_faults(now, setup, self.options.mutant);
+        let it = &mut self.nodes[node];
+        it.life += 1;
+        (it.core, it.listens, it.ended, it.wake, it.paused) = (Some(core), true, false, u64::MAX, false);
+        self.state(node, "ready");
+        self.feed(node, Input::Wake);
+    }
+
+    /// A node's process is no more; what it had open is reset.
+    fn stop(&mut self, node: usize, state: &str) {
+        self.state(node, state);
+        let it = &mut self.nodes[node];
+        (it.core, it.listens, it.watch, it.paused) = (None, false, None, false);
+        it.missed.clear();
+        let mut wires: Vec<_> = it.wires.drain().map(|(_, wire)| wire).chain(it.backlog.drain(..)).collect();
+        wires.sort_unstable();
+        for wire in wires {
+            self.close_node_end(wire);
+        }
+    }
+
+    /// Tells a node, and does what it says.
+    fn feed(&mut self, node: usize, input: Input<'_>) {
+        let now = self.clock(node);
+        let mut outputs = Outputs::new();
+        let Some(core) = &mut self.nodes[node].core else { return };
+        core.handle(now, input, &mut outputs);
+        self.perform(node, outputs);
+    }
+
+    fn also(&mut self, node: usize, input: Input<'_>, outputs: &mut Outputs) {
+        let now = self.clock(node);
+        if let Some(core) = &mut self.nodes[node].core {
+            core.handle(now, input, outputs);
+        }
+    }
+
+    fn perform(&mut self, node: usize, mut outputs: Outputs) {
+        while let Some(output) = outputs.pop_front() {
+            match output {
+                Output::Write(id, bytes) => self.node_writes(node, id, &bytes, &mut outputs),
+                Output::Ask(id, bytes) => {
+                    if self.drained(node, id, &mut outputs) {
+                        self.node_writes(node, id, &bytes, &mut outputs);
+                    }
+                }
+                Output::Open(id, address) => self.open(node, id, address),
+                Output::Close(id) => {
+                    if let Some(wire) = self.nodes[node].wires.remove(&id) {
+                        self.close_node_end(wire);
+                    }
+                }
+                Output::Part(id) => {
+                    if self.drained(node, id, &mut outputs)
+                        && let Some(wire) = self.nodes[node].wires.remove(&id)
+                    {
+                        self.close_node_end(wire);
+                        self.also(node, Input::Ended(id), &mut outputs);
+                    }
+                }
+                Output::Linger(id) => {
+                    let Some(wire) = self.nodes[node].wires.get(&id).copied() else { continue };
+                    if let Some(it) = self.wires.get_mut(&wire) {
+                        it.lingers = true;
+                        it.inbox.clear();
+                    }
+                    self.send_to_peer(wire, Chunk::End);
+                    self.push(self.now + LINGER, Ev::Lingered(wire));
+                }
+                Output::Resume(id) => {
+                    if let Some(wire) = self.nodes[node].wires.get(&id).copied() {
+                        self.read(node, wire, &mut outputs);
+                    }
+                }
+                Output::Discovery(call) => {
+                    let life = self.nodes[node].life;
+                    match call.ask {
+                        Ask::Unwatch | Ask::Leave => self.nodes[node].watch = None,
+                        ask => {
+                            self.nodes[node].watch = self.nodes[node].watch.filter(|_| ask == Ask::Fetch);
+                            let at = self.now + CALL;
+                            self.push(at, Ev::Called(node, life, call.era, ask));
+                        }
+                    }
+                }
+                Output::Draining => {
+                    self.nodes[node].listens = false;
+                    let backlog = std::mem::take(&mut self.nodes[node].backlog);
+                    backlog.into_iter().for_each(|wire| self.close_node_end(wire));
+                }
+                Output::Done => self.nodes[node].ended = true,
+                Output::Log(Note::Fault(what)) => self.breach("fault", what),
+                Output::Log(Note::Module(_)) | Output::Call(..) | Output::Placement(_) => {}
+            }
+            if outputs.is_empty() {
+                self.take_backlog(node, &mut outputs);
+            }
+        }
+        if std::mem::take(&mut self.nodes[node].ended) {
+            self.stop(node, "exited");
+            return self.push(self.now + AWAY, Ev::Start(node));
+        }
+        self.look(node);
+        let Some(core) = &self.nodes[node].core else { return };
+        if let Some(next) = core.next() {
+            let at = self.moment(node, next).max(self.now);
+            if at < self.nodes[node].wake || self.nodes[node].wake <= self.now {
+                self.nodes[node].wake = at;
+                let life = self.nodes[node].life;
+                self.push(at, Ev::Wake(node, life));
+            }
+        }
+    }
+
+    /// What must hold after each step.
+    fn look(&mut self, node: usize) {
+        let it = &self.nodes[node];
+        let Some(core) = &it.core else { return };
+        let (count, wires) = (core.count(), it.wires.len());
+        let sockets = self.plan.sockets;
+        if count.clients + count.conns != wires {
+            let what = format!("node {node} knows {} of {wires} connections", count.clients + count.conns);
+            return self.breach("connections", what);
+        }
+        if wires + 16 > sockets {
+            return self.breach("descriptors", format!("node {node} holds {wires} connections of {sockets}"));
+        }
+        if count.owed != count.ids || count.owed > count.open {
+            return self.breach("owners", format!("node {node}: {count:?}"));
+        }
+        let live = count.open + count.attempts + count.clients + count.conns;
+        if count.timers > 600 + 8 * live {
+            return self.breach("timers", format!("node {node}: {} for {live} that are open", count.timers));
+        }
+        if count.memory > self.plan.memory_mb << 20 {
+            self.breach("memory", format!("node {node}: {} bytes", count.memory));
+        }
+    }
+
+    fn wake(&mut self, node: usize, life: u64) {
+        if self.nodes[node].life != life || self.nodes[node].core.is_none() {
+            return;
+        }
+        if self.nodes[node].paused {
+            return self.nodes[node].missed.push(Ev::Wake(node, life));
+        }
+        if self.nodes[node].wake <= self.now {
+            self.feed(node, Input::Wake);
+        }
+    }
+
+    /// Tells a wire's node of something, unless it stands still.
+    fn of_wire(&mut self, wire: WireId, ev: impl Fn(WireId) -> Ev, input: impl Fn(ConnId) -> Input<'static>) {
+        let Some(it) = self.wires.get(&wire).filter(|it| it.node_open) else { return };
+        let (node, id) = (it.node, it.id);
+        if self.nodes[node].paused {
+            return self.nodes[node].missed.push(ev(wire));
+        }
+        self.feed(node, input(id));
+    }
+
+    // Streams, at the node's end.
+
+    fn send_to_node(&mut self, wire: WireId, chunk: Chunk) {
+        let delay = self.delay();
+        let Some(it) = self.wires.get_mut(&wire) else { return };
+        it.to_node = (self.now + delay).max(it.to_node);
+        let at = it.to_node;
+        self.push(at, Ev::ToNode(wire, chunk));
+    }
+
+    fn send_to_peer(&mut self, wire: WireId, chunk: Chunk) {
+        let delay = self.delay();
+        let Some(it) = self.wires.get_mut(&wire) else { return };
+        it.to_peer = (self.now + delay).max(it.to_peer);
+        let at = it.to_peer;
+        self.push(at, Ev::ToPeer(wire, chunk));
+    }
+
+    /// Bytes on their way, whole or in pieces.
+    fn pieces(&mut self, bytes: &[u8]) -> Vec<Vec<u8>> {
+        if bytes.len() < 2 || !self.chance(self.plan.split) {
+            return vec![bytes.to_vec()];
+        }
+        let mut rest = bytes;
+        let mut pieces = Vec::new();
+        while rest.len() > 1 && pieces.len() < 6 {
+            let cut = 1 + self.rng.rand_range(0..rest.len() as u64) as usize;
+            let (piece, more) = rest.split_at(cut);
+            pieces.push(piece.to_vec());
+            rest = more;
+        }
+        if !rest.is_empty() {
+            pieces.push(rest.to_vec());
+        }
+        pieces
+    }
+
+    fn node_writes(&mut self, node: usize, id: ConnId, bytes: &[u8], outputs: &mut Outputs) {
+        let Some(wire) = self.nodes[node].wires.get(&id).copied() else { return };
+        if self.wires.get(&wire).is_none_or(|it| !it.peer_open) {
+            // The other end is gone already: the machine says so.
+            self.nodes[node].wires.remove(&id);
+            self.close_node_end(wire);
+            return self.also(node, Input::Ended(id), outputs);
+        }
+        for piece in self.pieces(bytes) {
+            self.send_to_peer(wire, Chunk::Bytes(piece));
+        }
+        if self.chance(self.plan.slow) {
+            let at = self.now + self.rng.rand_range(1..40_000);
+            return self.push(at, Ev::Flushed(wire));
+        }
+        self.also(node, Input::Flushed(id), outputs);
+    }
+
+    fn at_node(&mut self, wire: WireId, chunk: Chunk) {
+        let Some(it) = self.wires.get_mut(&wire).filter(|it| it.node_open) else { return };
+        match chunk {
+            _ if it.lingers => return,
+            Chunk::Bytes(bytes) => it.inbox.extend_from_slice(&bytes),
+            Chunk::End => it.ended = true,
+        }
+        let (node, id) = (it.node, it.id);
+        // One that is not taken yet, or a process that stands still: the machine keeps it.
+        if id == 0 || self.nodes[node].paused {
+            return;
+        }
+        let mut outputs = Outputs::new();
+        self.read(node, wire, &mut outputs);
+        self.perform(node, outputs);
+    }
+
+    /// The node reads what has come, as much of it as it wants.
+    fn read(&mut self, node: usize, wire: WireId, outputs: &mut Outputs) {
+        loop {
+            let Some(it) = self.wires.get_mut(&wire).filter(|it| it.node_open) else { return };
+            let id = it.id;
+            if it.inbox.is_empty() && !it.ended {
+                return;
+            }
+            let Some(core) = &mut self.nodes[node].core else { return };
+            let reads = core.reads(id);
+            if reads == 0 {
+                return;
+            }
+            if it.inbox.is_empty() {
+                self.nodes[node].wires.remove(&id);
+                self.close_node_end(wire);
+                return self.also(node, Input::Ended(id), outputs);
+            }
+            let bytes: Vec<u8> = it.inbox.drain(..reads.min(it.inbox.len())).collect();
+            self.also(node, Input::Bytes(id, &bytes), outputs);
+            // What it says to that comes first.
+            if !outputs.is_empty() {
+                let now = std::mem::take(outputs);
+                self.perform(node, now);
+            }
+        }
+    }
+
+    /// Whether a connection has brought nothing; the node is told of what it has, or of its end.
+    fn drained(&mut self, node: usize, id: ConnId, outputs: &mut Outputs) -> bool {
+        let Some(wire) = self.nodes[node].wires.get(&id).copied() else { return false };
+        let Some(it) = self.wires.get_mut(&wire) else { return false };
+        if !it.inbox.is_empty() {
+            let bytes: Vec<u8> = it.inbox.drain(..it.inbox.len().min(4_096)).collect();
+            self.also(node, Input::Bytes(id, &bytes), outputs);
+            return false;
+        }
+        if it.ended {
+            self.nodes[node].wires.remove(&id);
+            self.close_node_end(wire);
+            self.also(node, Input::Ended(id), outputs);
+            return false;
+        }
+        true
+    }
+
+    /// The node's end is closed.
+    fn close_node_end(&mut self, wire: WireId) {
+        let Some(it) = self.wires.get_mut(&wire) else { return };
+        if std::mem::replace(&mut it.node_open, false) && it.peer_open {
+            self.send_to_peer(wire, Chunk::End);
+        } else {
+            self.wires.remove(&wire);
+        }
+    }
+
+    fn lingered(&mut self, wire: WireId) {
+        let Some(it) = self.wires.get(&wire).filter(|it| it.node_open) else { return };
+        let (node, id) = (it.node, it.id);
+        self.nodes[node].wires.remove(&id);
+        self.close_node_end(wire);
+        self.feed(node, Input::Ended(id));
+    }
+
+    fn open(&mut self, node: usize, id: ConnId, address: SocketAddr) {
+        let server = self.servers.iter().position(|server| server.address == address).unwrap_or(0);
+        let life = self.nodes[node].life;
+        let wire = self.wire(node, life, id, Peer::Server(server));
+        self.nodes[node].wires.insert(id, wire);
+        let at = self.now + self.delay();
+        if !self.servers[server].vanished {
+            let up = self.servers[server].up;
+            self.push(at, Ev::Connected(wire, up));
+        }
+    }
+
+    fn wire(&mut self, node: usize, life: u64, id: ConnId, peer: Peer) -> WireId {
+        let wire = self.next_wire;
+        self.next_wire += 1;
+        let it = Wire {
+            node,
+            life,
+            id,
+            peer,
+            node_open: true,
+            peer_open: true,
+            lingers: false,
+            to_node: 0,
+            to_peer: 0,
+            inbox: Vec::new(),
+            ended: false,
+            input: BytesMut::new(),
+            first: 0,
+            asked: VecDeque::new(),
+            last: None,
+            owes: None,
+        };
+        self.wires.insert(wire, it);
+        wire
+    }
+
+    fn connected(&mut self, wire: WireId, up: bool) {
+        let Some(it) = self.wires.get(&wire).filter(|it| it.node_open) else { return };
+        let (node, id) = (it.node, it.id);
+        if self.nodes[node].paused {
+            return self.nodes[node].missed.push(Ev::Connected(wire, up));
+        }
+        if up {
+            return self.feed(node, Input::Opened(id));
+        }
+        self.nodes[node].wires.remove(&id);
+        self.wires.remove(&wire);
+        self.feed(node, Input::Ended(id));
+    }
+
+    /// A client's connection reaches a node's machine.
+    fn knock(&mut self, wire: WireId) {
+        let Some(it) = self.wires.get(&wire).filter(|it| it.node_open) else { return };
+        let (node, life) = (it.node, it.life);
+        if self.nodes[node].life != life || !self.nodes[node].listens {
+            return self.close_node_end(wire);
+        }
+        self.nodes[node].backlog.push_back(wire);
+        if !self.nodes[node].paused {
+            let mut outputs = Outputs::new();
+            self.take_backlog(node, &mut outputs);
+            self.perform(node, outputs);
+        }
+    }
+
+    fn take_backlog(&mut self, node: usize, outputs: &mut Outputs) {
+        while self.nodes[node].core.as_ref().is_some_and(Core::accepts) {
+            let Some(wire) = self.nodes[node].backlog.pop_front() else { return };
+            if !self.wires.contains_key(&wire) {
+                continue;
+            }
+            let Some(core) = &mut self.nodes[node].core else { return };
+            let id = core.next_id();
+            if let Some(it) = self.wires.get_mut(&wire) {
+                it.id = id;
+            }
+            self.nodes[node].wires.insert(id, wire);
+            self.also(node, Input::Accepted(id), outputs);
+            self.read(node, wire, outputs);
+        }
+    }
+
+    // Streams, at the peer's end.
+
+    fn at_peer(&mut self, wire: WireId, chunk: Chunk) {
+        let now = self.now;
+        let Some(it) = self.wires.get_mut(&wire).filter(|it| it.peer_open) else { return };
+        let peer = it.peer;
+        match chunk {
+            Chunk::Bytes(bytes) => {
+                if it.input.is_empty() {
+                    it.first = now;
+                }
+                it.input.extend_from_slice(&bytes);
+                match peer {
+                    Peer::Client => self.client_reads(wire),
+                    Peer::Server(server) => self.server_reads(wire, server),
+                }
+            }
+            Chunk::End => {
+                it.peer_open = false;
+                let (asked, owes) = (std::mem::take(&mut it.asked), it.owes.take());
+                let (node, gone, kept) = (it.node, !it.node_open, it.last.is_some());
+                if gone {
+                    self.wires.remove(&wire);
+                }
+                match peer {
+                    Peer::Client => {
+                        self.nodes[node].idle.retain(|other| *other != wire);
+                        asked.into_iter().for_each(|wish| self.closed(wish, node, kept));
+                    }
+                    Peer::Server(server) => {
+                        let _ = (server, owes);
+                    }
+                }
+            }
+        }
+    }
+
+    // Servers.
+
+    fn tell_start(&mut self, at: usize) {
+        let server = &self.servers[at];
+        let cold = server.started.is_some();
+        let line = Line {
+            zone: "a".into(),
+            capacity_us_per_s: server.capacity(),
+            cold_share: COLD.0,
+            warm_us: if cold { COLD.1 } else { 0 },
+            since: server.started.unwrap_or(0),
+            ..self.who(&server.name, Event::Start)
+        };
+        self.line(line);
+    }
+
+    fn server_reads(&mut self, wire: WireId, at: usize) {
+        loop {
+            let server = &self.servers[at];
+            if !server.up || server.vanished || server.silent {
+                return;
+            }
+            let Some(it) = self.wires.get_mut(&wire) else { return };
+            let (node, first) = (it.node, it.first);
+            let asked = match servers::take(&mut it.input, server.origin) {
+                Ok(Some(asked)) => asked,
+                Ok(None) => return,
+                Err(what) => return self.breach("request", format!("node {node} sent {what}")),
+            };
+            let now = self.now;
+            if let Some(it) = self.wires.get_mut(&wire) {
+                it.first = now;
+            }
+            let (server, now) = (&mut self.servers[at], self.now);
+            let work = server.work(now, &asked);
+            let (name, life, origin) = (server.name.clone(), server.life, server.origin);
+            if origin && asked.write && work.effect == Effect::Ran {
+                // Copies that are made from now on are new.
+                for cache in self.servers.iter_mut().filter(|server| !server.origin) {
+                    cache.holds.remove(&asked.key);
+                }
+            }
+            if let Some(it) = self.wires.get_mut(&wire) {
+                it.owes = Some(work.number);
+            }
+            let line = Line {
+                request: asked.request.clone(),
+                node: Self::name(node),
+                class: asked.class.clone(),
+                key: asked.key.clone(),
+                token: asked.token.clone(),
+                digest: asked.digest.clone(),
+                effect: Some(work.effect),
+                first: (first != now).then_some(Span { begun: first, ended: first }),
+                number: work.number,
+                work_us: work.work,
+                origin,
+                ..self.who(&name, Event::Attempt)
+            };
+            self.line(line);
+            let at = work.at;
+            self.push(at, Ev::Done(wire, life, Box::new((asked, work))));
+        }
+    }
+
+    fn done(&mut self, wire: WireId, life: u64, (asked, work): (Asked, Work)) {
+        let Some(it) = self.wires.get_mut(&wire) else { return };
+        it.owes = None;
+        let Peer::Server(at) = it.peer else { return };
+        let open = it.peer_open;
+        let server = &mut self.servers[at];
+        if server.life != life || !server.up || !open {
+            return;
+        }
+        // What the origin holds when it answers.
+        let version = match server.origin && !asked.write {
+            true => server.holds.get(&asked.key).copied().unwrap_or(0),
+            false => work.version,
+        };
+        let (name, origin) = (server.name.clone(), server.origin);
+        let says = matches!(work.effect, Effect::Ran | Effect::Dropped);
+        let value = says.then(|| format!("{}.{version}.{}.{name}.{}", asked.key, asked.request, work.number));
+        let torn = server.tears();
+        let (silent, garbles, noisy) = (server.silent || server.vanished, server.garbles, server.noisy);
+        let base =
+            Line { request: asked.request.clone(), number: work.number, ..self.who(&name, Event::Over) };
+        if torn || silent || garbles {
+            self.line(base);
+        } else {
+            let said = value.clone().unwrap_or_default();
+            let version = if says { version } else { 0 };
+            self.line(Line { event: Event::Reply, value: said, version, ..base });
+        }
+        if silent {
+            return;
+        }
+        if origin && says && !asked.write && !torn && !garbles {
+            let caches = self.servers.iter_mut().filter(|server| !server.origin && server.up);
+            caches.for_each(|cache| cache.fill(&asked.request, &asked.key, version));
+        }
+        let whole = value.map(|value| servers::padded(&value, self.plan.value));
+        let mut bytes = servers::answer(&asked, work.effect, whole.as_deref());
+        if garbles {
+            let at = self.rng.rand_range(0..bytes.len() as u64) as usize;
+            bytes[at] = bytes[at].wrapping_add(1 + self.rng.rand_range(0..200) as u8);
+            bytes.insert(0, b'?');
+        }
+        if torn {
+            let cut = if origin { 0 } else { bytes.len() / 2 };
+            bytes.truncate(cut);
+            if !bytes.is_empty() {
+                self.server_says(wire, bytes);
+            }
+            if let Some(it) = self.wires.get_mut(&wire) {
+                it.peer_open = false;
+            }
+            return self.send_to_node(wire, Chunk::End);
+        }
+        if noisy {
+            let at = self.now + self.rng.rand_range(0..20_000);
+            self.push(at, Ev::Noise(wire, bytes.clone()));
+        }
+        self.server_says(wire, bytes);
+    }
+
+    fn server_says(&mut self, wire: WireId, bytes: Vec<u8>) {
+        if self.wires.get(&wire).is_none_or(|it| !it.peer_open) {
+            return;
+        }
+        for piece in self.pieces(&bytes) {
+            self.send_to_node(wire, Chunk::Bytes(piece));
+        }
+    }
+
+    /// All connections to a server are reset.
+    fn reset(&mut self, at: usize) {
+        let mut wires: Vec<_> = self
+            .wires
+            .iter()
+            .filter(|(_, it)| it.peer == Peer::Server(at) && it.peer_open)
+            .map(|(id, _)| *id)
+            .collect();
+        wires.sort_unstable();
+        for wire in wires {
+            if let Some(it) = self.wires.get_mut(&wire) {
+                it.peer_open = false;
+                it.owes = None;
+            }
+            self.send_to_node(wire, Chunk::End);
+        }
+    }
+
+    // Clients.
+
+    fn arrive(&mut self) {
+        if self.now >= self.plan.length {
+            return;
+        }
+        let wish = Wish::draw(self.wishes.len() as u64, self.now, self.plan, &mut self.rng);
+        self.wishes.push(wish);
+        self.try_wish(self.wishes.len() - 1);
+        let mean = 1e6 / self.plan.per_s;
+        let wait = (-(1.0 - self.rng.rand_float()).ln() * mean) as u64 + 1;
+        self.push(self.now + wait, Ev::Arrive);
+    }
+
+    fn try_wish(&mut self, at: usize) {
+        let wish = &self.wishes[at];
+        if wish.over {
+            return;
+        }
+        let left = wish.ends.saturating_sub(self.now);
+        if left < 20_000 {
+            self.wishes[at].over = true;
+            return;
+        }
+        // A front layer: to its node, or to another where that takes no connection.
+        let nodes = self.nodes.len();
+        let node = (0..nodes).map(|more| (wish.node + more) % nodes).find(|node| {
+            let it = &self.nodes[*node];
+            it.listens && it.core.is_some() && !it.paused
+        });
+        let Some(node) = node else { return self.push(self.now + BACKOFF, Ev::Try(at)) };
+        let again = wish.again;
+        let kept = if again { None } else { self.kept(node) };
+        let fresh = kept.is_none();
+        let wire = kept.unwrap_or_else(|| {
+            let life = self.nodes[node].life;
+            let wire = self.wire(node, life, 0, Peer::Client);
+            let at = self.now + self.delay();
+            if let Some(it) = self.wires.get_mut(&wire) {
+                it.to_node = at;
+            }
+            self.push(at, Ev::Knock(wire));
+            wire
+        });
+        let (value, digest) = (self.value.clone(), self.digest_of_value.clone());
+        let now = self.now;
+        let wish = &mut self.wishes[at];
+        let (name, _, writes, ..) = CLASSES[wish.class];
+        // A try is the same as before where a close crossed it: its id, and until when.
+        let left = if again { wish.until.saturating_sub(now) } else { left };
+        if !again {
+            wish.until = now + left / 1_000 * 1_000;
+        }
+        (wish.wire, wish.node) = (Some(wire), node);
+        let (id, token, key, until, retry) =
+            (wish.id(), wish.token(), wish.key.clone(), wish.until, wish.tries > 0);
+        let mut facts = format!("c={name},t=all,d={}", left / 1_000);
+        if !token.is_empty() {
+            facts.push_str(&format!(",k={token}"));
+        }
+        if retry {
+            facts.push_str(",r=1");
+        }
+        let bytes = match writes {
+            true => resp::command(&[
+                b"OBJ.SET",
+                key.as_bytes(),
+                id.as_bytes(),
+                facts.as_bytes(),
+                value.as_bytes(),
+            ]),
+            false => resp::command(&[b"OBJ.GET", key.as_bytes(), id.as_bytes(), facts.as_bytes()]),
+        };
+        let kept = self.wires.get(&wire).is_some_and(|it| it.last.is_some());
+        let line = Line {
+            request: id.clone(),
+            node: Self::name(node),
+            class: name.into(),
+            tenant: "all".into(),
+            key,
+            token,
+            digest: if writes { digest } else { String::new() },
+            until,
+            again,
+            kept,
+            retry,
+            ..self.who("client", Event::Ask)
+        };
+        self.line(line);
+        if let Some(it) = self.wires.get_mut(&wire) {
+            it.asked.push_back(at);
+        }
+        let _ = fresh;
+        for piece in self.pieces(&bytes) {
+            self.send_to_node(wire, Chunk::Bytes(piece));
+        }
+        let patience =
+            if self.impatient > 0 && self.rng.rand_float() < 0.5 { 30_000 } else { left + PATIENCE };
+        self.push(now + patience, Ev::Expire(at, id));
+    }
+
+    /// A connection to a node that may be used: one that is idle, or one that is not, where requests are pipelined.
+    fn kept(&mut self, node: usize) -> Option<WireId> {
+        if self.chance(self.plan.pipelined) {
+            let mut busy: Vec<_> = self
+                .wires
+                .iter()
+                .filter(|(_, it)| {
+                    it.node == node
+                        && it.life == self.nodes[node].life
+                        && it.peer == Peer::Client
+                        && it.peer_open
+                        && (1..12).contains(&it.asked.len())
+                })
+                .map(|(id, _)| *id)
+                .collect();
+            busy.sort_unstable();
+            if !busy.is_empty() {
+                return Some(busy[self.rng.rand_range(0..busy.len() as u64) as usize]);
+            }
+        }
+        while let Some(wire) = self.nodes[node].idle.pop() {
+            if self.wires.get(&wire).is_some_and(|it| it.peer_open && it.asked.is_empty()) {
+                return Some(wire);
+            }
+        }
+        None
+    }
+
+    fn client_reads(&mut self, wire: WireId) {
+        loop {
+            let Some(it) = self.wires.get_mut(&wire) else { return };
+            let node = it.node;
+            if it.input.is_empty() {
+                break;
+            }
+            let said = match resp::take_value(&mut it.input, 1 << 24) {
+                Ok(Some(said)) => said,
+                Ok(None) => return,
+                Err(e) => return self.breach("answer", format!("node {node} sent {e:?}")),
+            };
+            let Some(at) = it.asked.pop_front() else {
+                let request = it.last.map(|at| self.wishes[at].id()).unwrap_or_default();
+                // The node's word that nothing came in time answers nothing, and takes its connection along.
+                if matches!(&said, Value::Error(line) if line.starts_with(b"ERR no whole command")) {
+                    return;
+                }
+                let line = Line { node: Self::name(node), request, ..self.who("client", Event::Stray) };
+                return self.line(line);
+            };
+            it.last = Some(at);
+            let (outcome, value, advice) = meaning(&said);
+            let id = self.wishes[at].id();
+            let line = Line {
+                request: id,
+                node: Self::name(node),
+                outcome: Some(outcome),
+                value,
+                advice_ms: advice,
+                ..self.who("client", Event::Answer)
+            };
+            self.line(line);
+            self.answered(at, outcome, advice);
+        }
+        if self.wires.get(&wire).is_some_and(|it| it.asked.is_empty() && it.peer_open) {
+            let node = self.wires[&wire].node;
+            if !self.nodes[node].idle.contains(&wire) {
+                self.nodes[node].idle.push(wire);
+            }
+        }
+    }
+
+    fn answered(&mut self, at: usize, outcome: Outcome, advice: u64) {
+        let now = self.now;
+        let wish = &mut self.wishes[at];
+        wish.wire = None;
+        let may = CLASSES[wish.class].4;
+        let wait = match outcome {
+            Outcome::Served => {
+                (wish.over, wish.served) = (true, true);
+                return;
+            }
+            Outcome::Refused if advice > 0 => advice * 1_000,
+            Outcome::Refused => BACKOFF,
+            Outcome::Failed if may => BACKOFF,
+            Outcome::Failed => {
+                wish.over = true;
+                return;
+            }
+        };
+        wish.tries += 1;
+        wish.again = false;
+        if wish.tries >= TRIES {
+            wish.over = true;
+            return;
+        }
+        self.push(now + wait, Ev::Try(at));
+    }
+
+    /// A node ended a client's connection without an answer to its request.
+    fn closed(&mut self, at: usize, node: usize, kept: bool) {
+        let id = self.wishes[at].id();
+        let line = Line { request: id, node: Self::name(node), kept, ..self.who("client", Event::Closed) };
+        self.line(line);
+        let wish = &mut self.wishes[at];
+        wish.wire = None;
+        if wish.over {
+            return;
+        }
+        if kept && !wish.again && wish.until > self.now + 5_000 {
+            // It crossed this request: once more, on a new connection.
+            wish.again = true;
+            return self.try_wish(at);
+        }
+        wish.again = false;
+        wish.tries += 1;
+        if wish.tries < TRIES && CLASSES[wish.class].4 {
+            self.push(self.now + BACKOFF, Ev::Try(at));
+        } else {
+            wish.over = true;
+        }
+    }
+
+    /// A client's patience is over: it closes its connection, and all that was asked on it is left.
+    fn expire(&mut self, at: usize, id: &str) {
+        let wish = &self.wishes[at];
+        let Some(wire) = wish.wire.filter(|_| wish.id() == id && !wish.over) else { return };
+        self.leave(wire);
+    }
+
+    /// A client closes its connection; what it had asked is over.
+    fn leave(&mut self, wire: WireId) {
+        let Some(it) = self.wires.get_mut(&wire) else { return };
+        it.peer_open = false;
+        let (asked, node) = (std::mem::take(&mut it.asked), it.node);
+        self.nodes[node].idle.retain(|other| *other != wire);
+        for left in asked {
+            let early = self.now < self.wishes[left].until;
+            self.wishes[left].over = true;
+            self.wishes[left].wire = None;
+            if early {
+                let request = self.wishes[left].id();
+                let line = Line { request, node: Self::name(node), ..self.who("client", Event::Gone) };
+                self.line(line);
+            }
+        }
+        self.send_to_node(wire, Chunk::End);
+    }
+
+    /// Clients that say nothing.
+    fn come(&mut self, at: usize) {
+        let What::Crowd { per_s } = self.plan.faults[at].what else { return };
+        if self.crowd == 0 {
+            return;
+        }
+        let node = self.rng.rand_range(0..self.nodes.len() as u64) as usize;
+        if self.nodes[node].listens {
+            let life = self.nodes[node].life;
+            let wire = self.wire(node, life, 0, Peer::Client);
+            let at = self.now + self.delay();
+            if let Some(it) = self.wires.get_mut(&wire) {
+                it.to_node = at;
+            }
+            self.push(at, Ev::Knock(wire));
+        }
+        self.push(self.now + 1_000_000 / per_s.max(1), Ev::Crowd(at));
+    }
+
+    // Discovery.
+
+    fn knows(&mut self, name: String, status: &'static str, since: Option<u64>) {
+        self.discovery.change(&name, status, since);
+        let entry = self.discovery.entries.iter().find(|entry| entry.name == name);
+        let since = entry.map_or(0, |entry| entry.since);
+        let line =
+            Line { server: name, status: status.into(), since, ..self.who("discovery", Event::Change) };
+        self.line(line);
+        for node in 0..self.nodes.len() {
+            self.tell_watch(node);
+        }
+    }
+
+    /// Tells a node that watches what it was not told.
+    fn tell_watch(&mut self, node: usize) {
+        let Some((era, after)) = self.nodes[node].watch else { return };
+        if self.discovery.down || after >= self.discovery.index {
+            return;
+        }
+        let from = match self.discovery.old_news {
+            // What it was told before comes again, behind what is new.
+            true => after.saturating_sub(2).max(1),
+            false => after,
+        };
+        let (listing, told) = self.discovery.listing(after, EPOCH);
+        self.nodes[node].watch = Some((era, listing.index));
+        let at = self.now + self.delay();
+        let life = self.nodes[node].life;
+        self.note_told(node, &told);
+        self.push(at, Ev::Told(node, life, era, Some(listing)));
+        if from != after {
+            let (mut old, _) = self.discovery.listing(from, EPOCH);
+            old.index = after.saturating_sub(1);
+            old.endpoints.iter_mut().for_each(|endpoint| endpoint.status = "active".into());
+            self.push(at + 50_000, Ev::Told(node, life, era, Some(old)));
+        }
+    }
+
+    fn note_told(&mut self, node: usize, told: &[Entry]) {
+        for entry in told {
+            let line = Line {
+                node: Self::name(node),
+                server: entry.name.clone(),
+                status: entry.status.into(),
+                since: entry.since,
+                ..self.who("discovery", Event::Told)
+            };
+            self.line(line);
+        }
+    }
+
+    fn called(&mut self, node: usize, life: u64, era: u64, ask: Ask) {
+        if self.nodes[node].life != life || self.nodes[node].core.is_none() {
+            return;
+        }
+        if self.discovery.down {
+            let at = self.now + self.delay();
+            return self.push(at, Ev::Told(node, life, era, None));
+        }
+        match ask {
+            Ask::Watch { after } => {
+                // A whole list where it has none.
+                self.nodes[node].watch = Some((era, after));
+                self.tell_watch(node);
+            }
+            _ => {
+                let (listing, told) = self.discovery.listing(0, EPOCH);
+                self.note_told(node, &told);
+                let at = self.now + self.delay();
+                self.push(at, Ev::Told(node, life, era, Some(listing)));
+            }
+        }
+    }
+
+    fn told(&mut self, node: usize, life: u64, era: u64, listing: Option<Listing>) {
+        if self.nodes[node].life != life || self.nodes[node].core.is_none() {
+            return;
+        }
+        if self.nodes[node].paused {
+            return self.nodes[node].missed.push(Ev::Told(node, life, era, listing));
+        }
+        self.feed(
+            node,
+            match listing {
+                Some(listing) => Input::List(era, listing),
+                None => Input::ListFailed(era),
+            },
+        );
+    }
+
+    // Faults.
+
+    fn fault(&mut self, at: usize, begins: bool) {
+        let fault = self.plan.faults[at];
+        let line = Line {
+            state: format!("{:?} {}", fault.what, if begins { "begins" } else { "ends" }),
+            ..self.who("lab", Event::Fault)
+        };
+        self.line(line);
+        match fault.what {
+            What::KillCache { cache } | What::ReplaceCache { cache } => {
+                let name = self.servers[cache].name.clone();
+                if begins && self.servers[cache].up {
+                    let line = self.who(&name, Event::Down);
+                    self.line(line);
+                    self.servers[cache].up = false;
+                    self.reset(cache);
+                    self.push(self.now + LATE, Ev::Knows(name, "left", None));
+                } else if !begins && !self.servers[cache].up {
+                    self.servers[cache].restart(self.now);
+                    self.tell_start(cache);
+                    self.push(self.now + LATE, Ev::Knows(name, "active", Some(self.now)));
+                }
+            }
+            What::SilentCache { cache } => {
+                self.servers[cache].silent = begins;
+                if !begins {
+                    // What it was sent meanwhile is never read.
+                    self.reset(cache);
+                }
+            }
+            What::VanishCache { cache } => {
+                self.servers[cache].vanished = begins;
+                if !begins {
+                    self.reset(cache);
+                }
+            }
+            What::DrainCache { cache } => {
+                let name = self.servers[cache].name.clone();
+                let status = if begins { "leaving" } else { "active" };
+                self.push(self.now + LATE, Ev::Knows(name, status, None));
+            }
+            What::TearCache { cache, every } => self.servers[cache].tear = begins.then_some(every),
+            What::NoisyCache { cache } => self.servers[cache].noisy = begins,
+            What::GarbleCache { cache } => self.servers[cache].garbles = begins,
+            What::KillNode { node } => match (begins, self.nodes[node].core.is_some()) {
+                (true, true) => self.stop(node, "killed"),
+                (false, false) => self.start(node),
+                _ => {}
+            },
+            What::TermNode { node } => {
+                if begins && self.nodes[node].core.is_some() && !self.nodes[node].paused {
+                    self.state(node, "term");
+                    self.feed(node, Input::Terminate);
+                }
+            }
+            What::PauseNode { node } => self.pause(node, begins),
+            What::StallOrigin => {
+                if begins && let Some(origin) = self.servers.last_mut() {
+                    origin.stall(self.now + fault.lasts);
+                }
+            }
+            What::TearOrigin { every } => {
+                if let Some(origin) = self.servers.last_mut() {
+                    origin.tear = begins.then_some(every);
+                }
+            }
+            What::NoDiscovery => {
+                self.discovery.down = begins;
+                for node in 0..self.nodes.len() {
+                    if let Some((era, _)) = self.nodes[node].watch.take().filter(|_| begins) {
+                        let (at, life) = (self.now + self.delay(), self.nodes[node].life);
+                        self.push(at, Ev::Told(node, life, era, None));
+                    }
+                }
+            }
+            What::OldNews => self.discovery.old_news = begins,
+            What::Impatient => {
+                self.impatient = self.impatient.saturating_add_signed(if begins { 1 } else { -1 })
+            }
+            What::Crowd { .. } => {
+                self.crowd = self.crowd.saturating_add_signed(if begins { 1 } else { -1 });
+                if begins {
+                    self.come(at);
+                }
+            }
+        }
+    }
+
+    fn pause(&mut self, node: usize, begins: bool) {
+        if self.nodes[node].core.is_none() {
+            return;
+        }
+        self.nodes[node].paused = begins;
+        if begins {
+            // What its clients wait for meanwhile is not the node's to answer: they leave.
+            let mine = |it: &Wire| it.node == node && it.peer == Peer::Client && it.peer_open;
+            let mut wires: Vec<_> = self.wires.iter().filter(|(_, it)| mine(it)).map(|(id, _)| *id).collect();
+            wires.sort_unstable();
+            wires.into_iter().for_each(|wire| self.leave(wire));
+            return;
+        }
+        // All that is due is due at once, and what has come is read behind it or before it, as it was known.
+        for ev in std::mem::take(&mut self.nodes[node].missed) {
+            self.happen(ev);
+        }
+        self.feed(node, Input::Wake);
+        let mut wires: Vec<_> = self.nodes[node].wires.values().copied().collect();
+        wires.sort_unstable();
+        for wire in wires {
+            let mut outputs = Outputs::new();
+            self.read(node, wire, &mut outputs);
+            self.perform(node, outputs);
+        }
+        let mut outputs = Outputs::new();
+        self.take_backlog(node, &mut outputs);
+        self.perform(node, outputs);
+    }
+}
+
+/// What an answer says, in the auditor's words.
+fn meaning(said: &Value) -> (Outcome, String, u64) {
+    match said {
+        Value::Bulk(Some(value)) => {
+            let text = String::from_utf8_lossy(value);
+            (Outcome::Served, text.split(' ').next().unwrap_or_default().to_owned(), 0)
+        }
+        Value::Error(line) if line.starts_with(b"BUSY") => {
+            let text = String::from_utf8_lossy(line).into_owned();
+            (
+                Outcome::Refused,
+                String::new(),
+                text.split(' ').nth(1).and_then(|ms| ms.parse().ok()).unwrap_or(0),
+            )
+        }
+        _ => (Outcome::Failed, String::new(), 0),
+    }
+}
