--- a/crates/stonevane-sim/src/world.rs
+++ b/crates/stonevane-sim/src/world.rs
@@ -1376,7 +1376,8 @@
             self.push(self.now + BACKOFF, Ev::Try(wish));
         }
         for left in asked {
-            let early = self.now < self.wishes[left].until;
+            // Also one who leaves while an answer in time may still be on its way.
+            let early = self.now < self.wishes[left].until + 60_000;
             self.wishes[left].over = true;
             self.wishes[left].wire = None;
             if early {
