--- a/crates/stonevane-sim/src/world.rs
+++ b/crates/stonevane-sim/src/world.rs
@@ -420,7 +420,7 @@
             Ev::ToNode(wire, chunk) => self.at_node(wire, chunk),
             Ev::ToPeer(wire, chunk) => self.at_peer(wire, chunk),
             Ev::Connected(wire, up) => self.connected(wire, up),
-            Ev::Flushed(wire) => self.of_wire(wire, Ev::Flushed, |id| Input::Flushed(id)),
+            Ev::Flushed(wire) => self.of_wire(wire, Ev::Flushed, Input::Flushed),
             Ev::Lingered(wire) => self.lingered(wire),
             Ev::Knock(wire) => self.knock(wire),
             Ev::Wake(node, life) => self.wake(node, life),
