Say once what discovery knows at first, and drop what the simulator wrote and never read

Read again: the list of servers was built in two places of the simulator, a digest had two names, and each stream noted what a server owed, which nothing looked at. One constructor, one function, no field.

--- a/crates/stonevane-sim/src/discovery.rs
+++ b/crates/stonevane-sim/src/discovery.rs
@@ -2,6 +2,8 @@
 
 use stonevane_core::{Endpoint, Listing};
 
+use crate::servers::Server;
+
 /// One entry, and the version at which it last changed.
 #[derive(Debug, Clone)]
 pub struct Entry {
@@ -25,6 +27,19 @@
 }
 
 impl Discovery {
+    /// One that knows these servers, all active and started long ago.
+    pub fn of(servers: &[Server]) -> Discovery {
+        let entries = servers.iter().map(|server| Entry {
+            name: server.name.clone(),
+            address: server.address.to_string(),
+            origin: server.origin,
+            status: "active",
+            since: 0,
+            index: 1,
+        });
+        Discovery { entries: entries.collect(), index: 1, down: false, old_news: false }
+    }
+
     /// It learns of a change.
     pub fn change(&mut self, name: &str, status: &'static str, since: Option<u64>) {
         self.index += 1;
--- a/crates/stonevane-sim/src/servers.rs
+++ b/crates/stonevane-sim/src/servers.rs
@@ -204,13 +204,9 @@
     pairs.into_iter().find(|(known, _)| *known == name).map_or("", |(_, value)| value)
 }
 
-fn digest(value: &[u8]) -> String {
-    format!("{:x}", xxh3_64(value))
-}
-
 /// The digest of a value that is written, as histories have it.
-pub fn value_digest(value: &[u8]) -> String {
-    digest(value)
+pub fn digest(value: &[u8]) -> String {
+    format!("{:x}", xxh3_64(value))
 }
 
 fn text(bytes: &[u8]) -> String {
--- a/crates/stonevane-sim/src/wire.rs
+++ b/crates/stonevane-sim/src/wire.rs
@@ -46,8 +46,6 @@
     pub crowd: bool,
     /// A client's request that is asked as soon as the node has taken it.
     pub wants: Option<usize>,
-    /// What a server still has to say: number of the attempt.
-    pub owes: Option<u64>,
 }
 
 /// What arrives.
--- a/crates/stonevane-sim/src/world.rs
+++ b/crates/stonevane-sim/src/world.rs
@@ -251,15 +251,7 @@
             let keys = (0..held).map(|key| (format!("{:016x}", key + 1), 0));
             server.holds = if server.origin { BTreeMap::new() } else { keys.collect() };
         }
-        let entries = servers.iter().map(|server| Entry {
-            name: server.name.clone(),
-            address: server.address.to_string(),
-            origin: server.origin,
-            status: "active",
-            since: 0,
-            index: 1,
-        });
-        let discovery = Discovery { entries: entries.collect(), index: 1, down: false, old_news: false };
+        let discovery = Discovery::of(&servers);
         let node = |at: usize| Node {
             core: None,
             life: 0,
@@ -299,7 +291,7 @@
             crowd: 0,
             dark: 0,
             steps: 0,
-            digest_of_value: servers::value_digest(value.as_bytes()),
+            digest_of_value: servers::digest(value.as_bytes()),
             value,
         }
     }
@@ -465,21 +457,7 @@
 
     fn start(&mut self, node: usize) {
         let plan = self.plan;
-        let known = Discovery {
-            entries: (0..self.servers.len())
-                .map(|at| Entry {
-                    name: self.servers[at].name.clone(),
-                    address: self.servers[at].address.to_string(),
-                    origin: self.servers[at].origin,
-                    status: "active",
-                    since: 0,
-                    index: 1,
-                })
-                .collect(),
-            index: 1,
-            down: false,
-            old_news: false,
-        };
+        let known = Discovery::of(&self.servers);
         let setup = Setup {
             deployment: deployment(plan, node),
             seed: plan.seed ^ (self.nodes[node].life << 32) ^ node as u64,
@@ -836,7 +814,6 @@
             first: 0,
             asked: VecDeque::new(),
             last: None,
-            owes: None,
             wants: None,
             crowd: false,
         };
@@ -913,7 +890,7 @@
             Chunk::End | Chunk::Reset => {
                 let reset = matches!(chunk, Chunk::Reset);
                 it.peer_open = false;
-                let (asked, owes) = (std::mem::take(&mut it.asked), it.owes.take());
+                let asked = std::mem::take(&mut it.asked);
                 let (node, gone, kept, wants) = (it.node, !it.node_open, it.last.is_some(), it.wants.take());
                 match gone {
                     true => drop(self.wires.remove(&wire)),
@@ -931,9 +908,7 @@
                         let kept = (kept || self.nodes[node].ending) && !reset;
                         asked.into_iter().for_each(|wish| self.closed(wish, node, kept));
                     }
-                    Peer::Server(server) => {
-                        let _ = (server, owes);
-                    }
+                    Peer::Server(_) => {}
                 }
             }
         }
@@ -981,9 +956,6 @@
                     cache.holds.remove(&asked.key);
                 }
             }
-            if let Some(it) = self.wires.get_mut(&wire) {
-                it.owes = Some(work.number);
-            }
             let line = Line {
                 request: asked.request.clone(),
                 node: Self::name(node),
@@ -1005,8 +977,7 @@
     }
 
     fn done(&mut self, wire: WireId, life: u64, (asked, work): (Asked, Work)) {
-        let Some(it) = self.wires.get_mut(&wire) else { return };
-        it.owes = None;
+        let Some(it) = self.wires.get(&wire) else { return };
         let Peer::Server(at) = it.peer else { return };
         let open = it.peer_open;
         let server = &mut self.servers[at];
@@ -1085,7 +1056,6 @@
         for wire in wires {
             if let Some(it) = self.wires.get_mut(&wire) {
                 it.peer_open = false;
-                it.owes = None;
             }
             self.send_to_node(wire, Chunk::End);
         }
