--- a/crates/stonevane/tests/common/mod.rs
+++ b/crates/stonevane/tests/common/mod.rs
@@ -30,6 +30,15 @@
     })
 }
 
+/// Runs a scenario with the real node; what it printed as JSON, with its exit code.
+pub fn run(name: &str, more: &[&str]) -> (Option<i32>, serde_json::Value, String) {
+    let mut args = vec!["lab", "run", name, "--json", "-", "--node-program", node()];
+    args.extend(more);
+    let output = stonevane(&args);
+    let json = serde_json::from_slice(&output.stdout).unwrap_or_default();
+    (output.status.code(), json, text(&output.stderr))
+}
+
 /// A file that goes when its test ends.
 pub struct Temp(pub PathBuf);
 
