Wake nobody for a request that is over

Each request left entries behind in the core's and the module's queues of times (its deadline, its attempt's limit, its patience), and each of them woke the node once it was due: an epoll_wait, a write to the runtime's own eventfd and a turn of the core, about 0.7 times a request at 1,000 a second. Entries of what is over are dropped when they come to the front.

--- a/crates/stonevane-core/src/node.rs
+++ b/crates/stonevane-core/src/node.rs
@@ -332,17 +332,19 @@
                 break;
             }
         }
-        // Entries of requests that are over stand until they are due: looked through when they are the most.
+        // Entries of requests that are over stand until they are the next, or the most: looked through then.
         let live = self.open.len() + self.attempts.len() + self.clients.sessions.len() + self.pool.len();
+        let (open, attempts, pool, sessions) =
+            (&self.open, &self.attempts, &self.pool, &self.clients.sessions);
+        let stale = |due| match due {
+            Due::Attempt(id, number) => !attempts.contains_key(&(id, number)),
+            Due::Deadline(id) => !open.contains_key(&id),
+            Due::Conn(id) => pool.get(id).is_none() && !sessions.contains_key(&id),
+            _ => false,
+        };
+        self.timers.skip(stale);
         if self.timers.len() > TIMERS + 8 * live {
-            let (open, attempts, pool, sessions) =
-                (&self.open, &self.attempts, &self.pool, &self.clients.sessions);
-            self.timers.retain(|due| match due {
-                Due::Attempt(id, number) => attempts.contains_key(&(*id, *number)),
-                Due::Deadline(id) => open.contains_key(id),
-                Due::Conn(id) => pool.get(*id).is_some() || sessions.contains_key(id),
-                _ => true,
-            });
+            self.timers.retain(|due| !stale(*due));
         }
         if self.phase == Phase::Starting && self.servers.values().any(|s| s.condition == Condition::Ready) {
             self.phase = Phase::Ready;
--- a/crates/stonevane-core/src/timers.rs
+++ b/crates/stonevane-core/src/timers.rs
@@ -44,6 +44,13 @@
         self.0.pop().map(|Reverse((_, due))| due)
     }
 
+    /// Drops what nothing is to be done for, up to the first that it is: nobody is woken for that.
+    pub fn skip(&mut self, stale: impl Fn(Due) -> bool) {
+        while self.0.peek().is_some_and(|Reverse((_, due))| stale(*due)) {
+            self.0.pop();
+        }
+    }
+
     /// When something is due next.
     pub fn next(&self) -> Option<Micros> {
         self.0.peek().map(|Reverse((at, _))| *at)
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -105,13 +105,18 @@
             Event::OriginShut { lasts } => self.origin_shut(lasts, out),
             Event::PeerMessage { .. } | Event::Probed { .. } => {}
         }
-        while let Some(wake) = self.wakes.due(now, out) {
+        while let Some(wake) = self.wakes.due(now, out, |wake| match wake {
+            Wake::End(id) => !self.held.contains_key(&id),
+            Wake::Go(id, wait) => self.held.get(&id).map(|h| h.wait) != Some(wait),
+            Wake::Patience(id, attempt) => !self.flights.contains_key(&(id, attempt)),
+            Wake::Subscribe | Wake::Review => false,
+        }) {
             match wake {
                 Wake::End(id) => self.time_up(id, out),
-                Wake::Go(id, wait) if self.held.get(&id).map(|h| h.wait) == Some(wait) => self.step(id, out),
+                Wake::Go(id, _) => self.step(id, out),
                 Wake::Patience(id, attempt) => self.patience(id, attempt, out),
                 Wake::Subscribe if self.settings.ask_discovery => out.push(Action::Subscribe(true)),
-                Wake::Go(..) | Wake::Subscribe => {}
+                Wake::Subscribe => {}
                 Wake::Review => self.review(out),
             }
         }
--- a/src/state.rs
+++ b/src/state.rs
@@ -288,8 +288,12 @@
         self.armed = None;
     }
 
-    /// The next wake-up that is due; when none is, sees that a timer is set for the first to come.
-    pub fn due(&mut self, now: Micros, out: &mut Vec<Action>) -> Option<Wake> {
+    /// The next wake-up that is due; when none is, sees that a timer is set for the first to come. Those that are
+    /// stale when they are the first are dropped: nobody is woken for what is over.
+    pub fn due(&mut self, now: Micros, out: &mut Vec<Action>, stale: impl Fn(Wake) -> bool) -> Option<Wake> {
+        while self.queue.peek().is_some_and(|Reverse((_, wake))| stale(*wake)) {
+            self.queue.pop();
+        }
         let &Reverse((time, wake)) = self.queue.peek()?;
         if time <= now {
             self.queue.pop();
