--- a/crates/stonevane-core/src/node.rs
+++ b/crates/stonevane-core/src/node.rs
@@ -30,6 +30,9 @@
 /// A node that drains ends this long after the longest deadline at the latest.
 const DRAIN_SLACK: Micros = 550_000;
 const SWEEP: Micros = 1_000_000;
+/// What is found due so late tells that the process stood still; then it takes what came meanwhile for so long before it
+/// does what is due. Against a retry to a server whose drain was told while the process stood still.
+const STOOD_STILL: (Micros, Micros) = (100_000, 5_000);
 /// Entries among the timers that are never looked through.
 const TIMERS: usize = 512;
 /// Requests taken and not yet answered.
@@ -132,6 +135,8 @@
     events: VecDeque<Event>,
     actions: Vec<Action>,
     timers: Timers,
+    /// Nothing that is due is done before.
+    catches_up: Option<Micros>,
     open: HashMap<RequestId, Open>,
     attempts: HashMap<AttemptKey, Attempt>,
     next_request: RequestId,
@@ -199,6 +204,7 @@
             events: VecDeque::new(),
             actions: Vec::new(),
             timers: Timers::default(),
+            catches_up: None,
             open: HashMap::new(),
             attempts: HashMap::new(),
             next_request: 1,
@@ -268,7 +274,8 @@
 
     /// When it wants to be woken, at the latest.
     pub fn next(&self) -> Option<Micros> {
-        self.timers.next()
+        let next = self.timers.next();
+        next.map(|next| next.max(self.catches_up.unwrap_or(0)))
     }
 
     /// Version of the list held.
@@ -294,8 +301,15 @@
     /// Something has happened at a time, which never goes back: what is to be done.
     pub fn handle(&mut self, now: Micros, input: Input<'_>, outputs: &mut Outputs) {
         self.now = self.now.max(now);
-        while let Some(due) = self.timers.pop(self.now) {
-            self.due(due);
+        if self.catches_up.is_none() && self.timers.next().is_some_and(|due| due + STOOD_STILL.0 <= self.now)
+        {
+            self.catches_up = Some(self.now + STOOD_STILL.1);
+        }
+        if self.catches_up.is_none_or(|until| until <= self.now) {
+            self.catches_up = None;
+            while let Some(due) = self.timers.pop(self.now) {
+                self.due(due);
+            }
         }
         match input {
             Input::Accepted(id) => self.accepted(id),
