--- a/crates/stonevane-core/src/node.rs
+++ b/crates/stonevane-core/src/node.rs
@@ -301,7 +301,10 @@
     /// Something has happened at a time, which never goes back: what is to be done.
     pub fn handle(&mut self, now: Micros, input: Input<'_>, outputs: &mut Outputs) {
         self.now = self.now.max(now);
-        if self.catches_up.is_none() && self.timers.next().is_some_and(|due| due + STOOD_STILL.0 <= self.now)
+        // Not once it is to end: what it took meanwhile it could not answer any more.
+        if self.catches_up.is_none()
+            && self.ends_at.is_none()
+            && self.timers.next().is_some_and(|due| due + STOOD_STILL.0 <= self.now)
         {
             self.catches_up = Some(self.now + STOOD_STILL.1);
         }
