--- a/crates/stonevane-sim/src/world.rs
+++ b/crates/stonevane-sim/src/world.rs
@@ -187,6 +187,8 @@
             class(CLASSES[2].0, Kind::Unsafe),
         ],
         origin: OriginRule { capacity_us_per_s: 4e6, ..OriginRule::default() },
+        // As long as what it took after SIGTERM may be waited for: a kill within that is the plan's doing.
+        term_us: 450_000 + CLASSES[0].1,
         exit_us: 3_200_000,
         max_attempts: 4,
         ..Rules::default()
