--- a/crates/stonevane-core/tests/common/mod.rs
+++ b/crates/stonevane-core/tests/common/mod.rs
@@ -4,8 +4,10 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use bytes::Bytes;
 use spardeal::settings::Deployment;
 use spardeal::{Class, Settings, Tenant};
+use stonevane_codec::resp;
 use stonevane_config::operator;
 use stonevane_core::{Core, Endpoint, Listing, Setup};
 
@@ -63,3 +65,11 @@
     };
     Core::new(START, setup)
 }
+
+/// A cache's answer to a read.
+pub const HIT: &[u8] = b"*3\r\n$5\r\nvalue\r\n$3\r\nhit\r\n$0\r\n\r\n";
+
+/// A client's read.
+pub fn get(key: &str, id: &str) -> Bytes {
+    resp::command(&[b"OBJ.GET", key.as_bytes(), id.as_bytes(), b"c=read,t=all,d=900"])
+}
--- a/crates/stonevane-core/tests/hit.rs
+++ b/crates/stonevane-core/tests/hit.rs
@@ -5,7 +5,7 @@
 
 use std::time::Duration;
 
-use common::{START, core};
+use common::{HIT, START, core, get};
 use stonevane_core::{ConnId, Input, Output, Outputs};
 
 const HITS: u64 = 500;
@@ -26,12 +26,9 @@
     let client = core.next_id();
     core.handle(now, Input::Accepted(client), &mut out);
     for at in 0..HITS + 100 {
-        let ask = format!(
-            "*4\r\n$7\r\nOBJ.GET\r\n$4\r\n{:04}\r\n$4\r\n{at:04}\r\n$18\r\nc=read,t=all,d=900\r\n",
-            at % 50
-        );
+        let ask = get(&format!("{:04}", at % 50), &format!("{at:04}"));
         now += 500;
-        let mut next: Option<(ConnId, &[u8])> = Some((client, ask.as_bytes()));
+        let mut next: Option<(ConnId, &[u8])> = Some((client, &ask));
         let mut told = Vec::with_capacity(16);
         loop {
             let input = match next.take() {
@@ -46,7 +43,7 @@
                     Output::Open(id, _) => told.push(Input::Opened(id)),
                     Output::Ask(id, _) => {
                         told.push(Input::Flushed(id));
-                        next = Some((id, b"*3\r\n$5\r\nvalue\r\n$3\r\nhit\r\n$0\r\n\r\n"));
+                        next = Some((id, HIT));
                     }
                     Output::Write(id, bytes) if id == client => {
                         assert_eq!(&bytes[..], b"$5\r\nvalue\r\n");
--- a/crates/stonevane-core/tests/rest.rs
+++ b/crates/stonevane-core/tests/rest.rs
@@ -6,11 +6,10 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-use common::{START, core};
+use common::{HIT, START, core, get};
 use stonevane_core::{ConnId, Core, Input, Output, Outputs};
 
 const REST: u64 = 15_000;
-const HIT: &[u8] = b"*3\r\n$5\r\nvalue\r\n$3\r\nhit\r\n$0\r\n\r\n";
 
 /// A core in a full table: its servers are up at once and answer at once.
 struct World {
@@ -77,11 +76,8 @@
     fn ask(&mut self, clients: usize) {
         for id in self.clients.clone().into_iter().take(clients) {
             self.asked += 1;
-            let id_word = format!("{:06}", self.asked);
-            let ask = format!(
-                "*4\r\n$7\r\nOBJ.GET\r\n$6\r\n{id_word}\r\n$6\r\n{id_word}\r\n$18\r\nc=read,t=all,d=900\r\n"
-            );
-            self.feed(Input::Bytes(id, ask.as_bytes()));
+            let word = format!("{:06}", self.asked);
+            self.feed(Input::Bytes(id, &get(&word, &word)));
         }
     }
 
--- a/crates/stonevane-lab/src/fleet.rs
+++ b/crates/stonevane-lab/src/fleet.rs
@@ -9,7 +9,8 @@
 use std::time::Duration;
 
 use stonevane_audit::{ClassRule, Event, Kind as ClassKind, Line, OriginRule, Rules, Scope, Span};
-use stonevane_standin::cache::{Cache, CacheSpec, padded};
+use stonevane_model::value::padded;
+use stonevane_standin::cache::{Cache, CacheSpec};
 use stonevane_standin::client::{Clients, key};
 use stonevane_standin::discovery::{Discovery, Entry, Trouble};
 use stonevane_standin::origin::{Origin, OriginSpec};
--- a/crates/stonevane-lab/src/run.rs
+++ b/crates/stonevane-lab/src/run.rs
@@ -8,8 +8,8 @@
 
 use serde::Serialize;
 use stonevane_audit::{Event, HistoryError, Line, Report, Rules, audit};
+use stonevane_model::value::digest;
 use stonevane_standin::client::{Clients, plan};
-use stonevane_standin::record::digest;
 use stonevane_standin::{Mono, Recorder};
 
 use crate::fleet::{Fleet, rules};
--- a/crates/stonevane-sim/src/servers.rs
+++ b/crates/stonevane-sim/src/servers.rs
@@ -6,8 +6,8 @@
 use bytes::{Buf, BytesMut};
 use stonevane_audit::{Effect, able};
 use stonevane_codec::resp;
+use stonevane_model::value::digest;
 use stonevane_model::work::{Cores, drawn};
-use xxhash_rust::xxh3::xxh3_64;
 
 /// Cores of a cache and of the origin.
 const CORES: usize = 4;
@@ -195,11 +195,6 @@
     pairs.into_iter().find(|(known, _)| *known == name).map_or("", |(_, value)| value)
 }
 
-/// The digest of a value that is written, as histories have it.
-pub fn digest(value: &[u8]) -> String {
-    format!("{:x}", xxh3_64(value))
-}
-
 fn text(bytes: &[u8]) -> String {
     String::from_utf8_lossy(bytes).into_owned()
 }
@@ -262,16 +257,6 @@
     }))
 }
 
-/// A value of a length: what is unique stands first, up to a space.
-pub fn padded(value: &str, length: usize) -> String {
-    let mut value = value.to_owned();
-    value.push(' ');
-    while value.len() < length {
-        value.push('.');
-    }
-    value
-}
-
 /// The bytes of an answer: `value` where there is one.
 pub fn answer(asked: &Asked, effect: Effect, value: Option<&str>) -> Vec<u8> {
     match (asked.http, effect, value) {
--- a/crates/stonevane-sim/src/world.rs
+++ b/crates/stonevane-sim/src/world.rs
@@ -14,6 +14,7 @@
 use stonevane_codec::resp::{self, Value};
 use stonevane_config::operator;
 use stonevane_core::{Ask, ConnId, Core, Input, Listing, Mutant, Note, Output, Outputs, Setup};
+use stonevane_model::value::{digest, padded};
 
 use crate::clients::{BACKOFF, CLASSES, TRIES, Wish};
 use crate::discovery::{Discovery, Entry};
@@ -270,7 +271,7 @@
             ppm: (plan.clocks.get(at).copied().unwrap_or(0.0) * 1e6) as i64,
             idle: Vec::new(),
         };
-        let value = servers::padded("v", plan.value);
+        let value = padded("v", plan.value);
         World {
             plan,
             options,
@@ -293,7 +294,7 @@
             crowd: 0,
             dark: 0,
             steps: 0,
-            digest_of_value: servers::digest(value.as_bytes()),
+            digest_of_value: digest(value.as_bytes()),
             value,
         }
     }
@@ -1012,7 +1013,7 @@
             let caches = self.servers.iter_mut().filter(|server| !server.origin && server.up);
             caches.for_each(|cache| cache.fill(&asked.request, &asked.key, version));
         }
-        let whole = value.map(|value| servers::padded(&value, self.plan.value));
+        let whole = value.map(|value| padded(&value, self.plan.value));
         let mut bytes = servers::answer(&asked, work.effect, whole.as_deref());
         if garbles {
             let at = self.rng.rand_range(0..bytes.len() as u64) as usize;
--- a/crates/stonevane-standin/src/cache.rs
+++ b/crates/stonevane-standin/src/cache.rs
@@ -10,9 +10,10 @@
 use bytes::{Bytes, BytesMut};
 use stonevane_audit::{Effect, Event, Line, Span};
 use stonevane_codec::resp;
+use stonevane_model::value::{digest, padded};
 use stonevane_model::work::{Cores, Window, able, drawn};
 
-use crate::record::{Mono, Recorder, digest};
+use crate::record::{Mono, Recorder};
 use crate::server::{Due, Fault, Place, Ports, Speaker, lock};
 
 /// A cache server's figures. Times in microseconds.
@@ -494,16 +495,6 @@
     }
 }
 
-/// A value of a length: what is unique stands first, up to a space.
-pub fn padded(value: &str, length: usize) -> String {
-    let mut value = value.to_owned();
-    value.push(' ');
-    while value.len() < length {
-        value.push('.');
-    }
-    value
-}
-
 impl State {
     fn new(spec: &CacheSpec, started: Option<u64>) -> State {
         State {
--- a/crates/stonevane-standin/src/client.rs
+++ b/crates/stonevane-standin/src/client.rs
@@ -10,11 +10,11 @@
 use oorandom::Rand64;
 use stonevane_audit::{Event, Line, Outcome, Span};
 use stonevane_codec::resp::{self, Value};
+use stonevane_model::value::{digest, padded};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
-use crate::cache::padded;
-use crate::record::{Mono, Recorder, digest};
+use crate::record::{Mono, Recorder};
 use crate::server::lock;
 
 /// How long past its time an answer is still waited for, to tell a late one from none.
--- a/crates/stonevane-standin/src/origin.rs
+++ b/crates/stonevane-standin/src/origin.rs
@@ -8,12 +8,13 @@
 use bytes::{Buf, Bytes, BytesMut};
 use stonevane_audit::{Effect, Event, Line, Span};
 use stonevane_codec::{http, resp};
+use stonevane_model::value::{digest, padded};
 use stonevane_model::work::{Cores, Window, drawn};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::sync::mpsc;
 
-use crate::cache::{Asked, Cache, facts, padded};
-use crate::record::{Mono, Recorder, digest};
+use crate::cache::{Asked, Cache, facts};
+use crate::record::{Mono, Recorder};
 use crate::server::{Due, Fault, Ports, Speaker, lock};
 
 /// The origin's figures. Times in microseconds.
--- a/crates/stonevane-standin/src/record.rs
+++ b/crates/stonevane-standin/src/record.rs
@@ -13,11 +13,6 @@
 /// How often the heartbeat comes: what a stand-in sees had not happened two beats before.
 const BEAT: Duration = Duration::from_millis(2);
 
-/// A digest of an edit's value, as histories hold it: XXH3, 64 bits.
-pub fn digest(value: &[u8]) -> String {
-    format!("{:016x}", xxhash_rust::xxh3::xxh3_64(value))
-}
-
 /// The monotonic clock that all processes of a machine share, and a heartbeat of this process's loop.
 ///
 /// A socket that becomes readable is seen at the next turn of the loop that watches it. The loop has turned at
