--- a/crates/stonevane-core/src/node.rs
+++ b/crates/stonevane-core/src/node.rs
@@ -540,6 +540,7 @@
         if conn.armed.due(conn.limit, self.now, id, &mut self.timers) {
             match (conn.state, conn.attempt) {
                 (State::Reading, _) => self.spoilt(id),
+                (State::Idle, None) => self.close_server(id),
                 (State::Resting, Some(key)) => {
                     (conn.state, conn.limit) = (State::Idle, None);
                     self.write(key, id);
@@ -915,6 +916,7 @@
         // What comes from a connection that was given up is late, and of no more interest.
         let Some(key) = self.pool.get(id).and_then(|conn| conn.attempt) else { return };
         self.heard(key);
+        self.pool.answered(id, reply.status == Status::Full);
         match (reply.keep, self.attempts.get(&key).map(|attempt| attempt.server)) {
             (true, Some(server)) => self.release(id, server),
             _ => self.close_server(id),
@@ -989,6 +991,7 @@
         if !self.pool.release(id, address, self.now) {
             self.close_server(id);
         }
+        self.arm(id);
     }
 
     fn close_server(&mut self, id: ConnId) {
@@ -1135,6 +1138,7 @@
 
     fn forget(&mut self, id: ServerId) {
         self.servers.remove(&id);
+        self.pool.forget(id);
         self.close_idle(id);
     }
 }
--- a/crates/stonevane-core/src/servers/mod.rs
+++ b/crates/stonevane-core/src/servers/mod.rs
@@ -14,12 +14,23 @@
 
 pub use conn::{Conn, Read, Speaks, State};
 
+/// An idle connection to the origin is held for so long at the most. Against a table there that some nodes fill with
+/// connections they seldom use, while the others find no place: all nodes together hold no more idle ones than calls
+/// come in this time, however many nodes there are, and whoever lets go learns whether there is room still.
+const SHARED: Micros = 250_000;
+/// The least time for which an idle connection is held. Below it hardly one is used again.
+const LEAST: Micros = 30_000;
+/// Steps of that time: what a full table leaves of it, and what a newcomer that was answered adds, of the longest.
+const KEEP_STEPS: (u64, u64) = (2, 64);
+
 /// All connections to servers.
 pub struct Pool {
     conns: HashMap<ConnId, Conn>,
     /// Idle connections of each server and since when, the one used last at the end: sorted by time.
     idle: BTreeMap<ServerId, VecDeque<(Micros, ConnId)>>,
     idle_limit: Micros,
+    /// For how long an idle connection is held, where that is less than the longest.
+    keeps: HashMap<ServerId, Micros>,
     /// A connection rests for so long after an answer. Against a second copy or noise that comes a moment behind a good
     /// answer: it must be seen before the next request is written, or it would be read as its answer.
     rest: Micros,
@@ -30,7 +41,32 @@
     pub fn new(idle_close: Micros, rest: Micros) -> Pool {
         // Well before the server closes it: a request written to a closed connection ends as a reset, which
         // may have run and so may not be sent again.
-        Pool { conns: HashMap::new(), idle: BTreeMap::new(), idle_limit: idle_close / 2, rest }
+        let (conns, idle, keeps) = (HashMap::new(), BTreeMap::new(), HashMap::new());
+        Pool { conns, idle, idle_limit: idle_close / 2, keeps, rest }
+    }
+
+    /// The longest time for which an idle connection is held.
+    fn longest_keep(&self, speaks: Speaks) -> Micros {
+        if speaks == Speaks::Origin { SHARED.min(self.idle_limit) } else { self.idle_limit }
+    }
+
+    /// A connection has brought an answer that turned its request away, or another one. A newcomer that is turned away
+    /// tells that the server's table may be full: idle ones are held for half as long from then on, and little by
+    /// little for longer again as newcomers are answered.
+    pub fn answered(&mut self, id: ConnId, turned_away: bool) {
+        let Some(conn) = self.conns.get(&id).filter(|conn| conn.carried == 1) else { return };
+        let longest = self.longest_keep(conn.speaks);
+        let keep = self.keeps.get(&conn.server).copied().unwrap_or(longest);
+        let keep = if turned_away { (keep / KEEP_STEPS.0).max(LEAST) } else { keep + longest / KEEP_STEPS.1 };
+        match keep < longest {
+            true => drop(self.keeps.insert(conn.server, keep)),
+            false => drop(self.keeps.remove(&conn.server)),
+        }
+    }
+
+    /// Nothing is known of a server any more.
+    pub fn forget(&mut self, server: ServerId) {
+        self.keeps.remove(&server);
     }
 
     /// How many there are.
@@ -69,7 +105,7 @@
             let (since, id) = idle.remove(rested.checked_sub(1)?)?;
             match self.conns.get_mut(&id) {
                 Some(conn) if now < since + self.idle_limit => {
-                    conn.attempt = Some(attempt);
+                    (conn.attempt, conn.limit) = (Some(attempt), None);
                     return Some(id);
                 }
                 Some(_) => {
@@ -94,11 +130,16 @@
 
     /// A connection owes nothing any more and may be used again; `false` where its server lives elsewhere now.
     pub fn release(&mut self, id: ConnId, address: Option<SocketAddr>, now: Micros) -> bool {
-        let Some(conn) = self.conns.get_mut(&id) else { return true };
+        let Some(conn) = self.conns.get(&id) else { return true };
         if address != Some(conn.address) {
             return false;
         }
-        (conn.attempt, conn.idle_since, conn.state, conn.limit) = (None, now, State::Idle, None);
+        let longest = self.longest_keep(conn.speaks);
+        let keep = self.keeps.get(&conn.server).copied().unwrap_or(longest);
+        // The sweep finds those that may stand for longest.
+        let limit = (keep < self.idle_limit).then_some(now + keep);
+        let Some(conn) = self.conns.get_mut(&id) else { return true };
+        (conn.attempt, conn.idle_since, conn.state, conn.limit) = (None, now, State::Idle, limit);
         self.idle.entry(conn.server).or_default().push_back((now, id));
         true
     }
