--- a/crates/stonevane-core/src/io.rs
+++ b/crates/stonevane-core/src/io.rs
@@ -57,8 +57,8 @@
 pub enum Ask {
     /// Begin the watch, anew if there is one, after a version; its end is told.
     Watch {
-        /// The version held.
-        after: u64,
+        /// The version held, if any is.
+        after: Option<u64>,
     },
     /// End the watch.
     Unwatch,
--- a/crates/stonevane-core/src/node.rs
+++ b/crates/stonevane-core/src/node.rs
@@ -163,8 +163,8 @@
     placement: Option<Vec<SocketAddr>>,
     discovery: SocketAddr,
     era: Era,
-    /// Version of the list held.
-    index: u64,
+    /// Version of the list held, if one is.
+    index: Option<u64>,
     phase: Phase,
     ends_at: Option<Micros>,
     /// A call to discovery has failed, and none is made again: a fault on purpose.
@@ -225,7 +225,7 @@
             placement: setup.copies.then(Vec::new),
             discovery: setup.discovery,
             era: 0,
-            index: known.index,
+            index: None,
             phase: Phase::Starting,
             ends_at: None,
             deaf: false,
@@ -278,8 +278,8 @@
         next.map(|next| next.max(self.catches_up.unwrap_or(0)))
     }
 
-    /// Version of the list held.
-    pub fn index(&self) -> u64 {
+    /// Version of the list held, if one is.
+    pub fn index(&self) -> Option<u64> {
         self.index
     }
 
@@ -1074,18 +1074,23 @@
             return;
         }
         self.ask(Ask::Leave);
-        (self.discovery, self.index) = (address, 0);
+        (self.discovery, self.index) = (address, None);
         self.era += 1;
         let pushed = !self.deployment.settings.ask_discovery;
-        self.ask(if pushed { Ask::Follow } else { Ask::Watch { after: 0 } });
+        self.ask(if pushed { Ask::Follow } else { Ask::Watch { after: None } });
     }
 
     fn list(&mut self, listing: Listing, kind: Option<ListKind>) {
         let kind = kind.unwrap_or(if listing.snapshot { ListKind::Full } else { ListKind::Delta });
-        if kind == ListKind::Delta && listing.index < self.index && !self.faults.plays(Mutant::OldList) {
+        if kind == ListKind::Delta
+            && self.index.is_some_and(|held| listing.index < held)
+            && !self.faults.plays(Mutant::OldList)
+        {
             return; // Older than the list held.
         }
-        self.index = listing.index;
+        // A node that was given no list at its start asks for the whole one, whatever its version.
+        let none = kind == ListKind::Cached && listing.endpoints.is_empty();
+        self.index = (!none).then_some(listing.index);
         let mut lines: Vec<ServerLine> = Vec::with_capacity(listing.endpoints.len());
         let place = |names: &[String], name: &String| names.iter().position(|known| known == name);
         for entry in &listing.endpoints {
--- a/crates/stonevane-node/src/discovery.rs
+++ b/crates/stonevane-node/src/discovery.rs
@@ -81,7 +81,7 @@
                     let mut pause = BACKOFF.0;
                     loop {
                         let before = index.load(Ordering::Relaxed);
-                        let _ = watch(address, before, &line).await;
+                        let _ = watch(address, (before > 0).then_some(before), &line).await;
                         let heard = index.load(Ordering::Relaxed) != before;
                         pause = if heard { BACKOFF.0 } else { (pause * 2).min(BACKOFF.1) };
                         tokio::time::sleep(pause).await;
@@ -126,10 +126,10 @@
     }
 }
 
-async fn watch(address: SocketAddr, after: u64, line: &Line) -> Result<(), CallError> {
+async fn watch(address: SocketAddr, after: Option<u64>, line: &Line) -> Result<(), CallError> {
     let path = match after {
-        0 => "/v1/servers?watch=1".into(),
-        held => format!("/v1/servers?watch=1&after={held}"),
+        None => "/v1/servers?watch=1".into(),
+        Some(held) => format!("/v1/servers?watch=1&after={held}"),
     };
     lists(address, &path, line).await
 }
--- a/crates/stonevane-node/src/driver.rs
+++ b/crates/stonevane-node/src/driver.rs
@@ -109,7 +109,7 @@
 impl Driver {
     /// A driver of a core that has done nothing yet.
     pub fn new(core: Core, clock: Clock, deployment: Deployment, store: Option<Arc<Record>>) -> Arc<Driver> {
-        let index = Arc::new(AtomicU64::new(core.index()));
+        let index = Arc::new(AtomicU64::new(core.index().unwrap_or(0)));
         let state = State {
             core,
             outputs: Outputs::new(),
@@ -244,7 +244,7 @@
                 Output::Done => self.done.notify_one(),
             }
         }
-        self.index.store(state.core.index(), Ordering::Relaxed);
+        self.index.store(state.core.index().unwrap_or(0), Ordering::Relaxed);
         let accepts = state.core.accepts();
         if accepts && !self.accepts.swap(accepts, Ordering::Relaxed) {
             self.accept.notify_one();
--- a/crates/stonevane-node/tests/node/main.rs
+++ b/crates/stonevane-node/tests/node/main.rs
@@ -337,6 +337,18 @@
     assert_eq!(client.ask(&get("bb", "4")).unwrap(), "bb", "on a fresh connection");
 }
 
+#[test]
+fn a_list_of_version_0_is_not_asked_for_whole_again() {
+    let cache = cache(|_| Act::Say(hit("value")));
+    let entries = [entry("s-1", cache.address, "std", "active")];
+    for (known, path) in [(&entries[..], "?watch=1&after=0"), (&[], "?watch=1")] {
+        let (discovery, _say, calls) = discovery(vec![watch_head()]);
+        let _node = Node::start(discovery, &listing(0, true, known));
+        let call = calls.recv_timeout(LONG).unwrap();
+        assert_eq!(call, format!("GET /v1/servers{path} HTTP/1.1"));
+    }
+}
+
 #[test]
 fn a_server_told_to_drain_gets_nothing_new_and_a_failed_watch_leaves_the_list() {
     let (first, second) = (cache(|_| Act::Say(hit("first"))), cache(|_| Act::Say(hit("second"))));
--- a/crates/stonevane-sim/src/world.rs
+++ b/crates/stonevane-sim/src/world.rs
@@ -1441,7 +1441,7 @@
         match ask {
             Ask::Watch { after } => {
                 // A whole list where it has none.
-                self.nodes[node].watch = Some((era, after));
+                self.nodes[node].watch = Some((era, after.unwrap_or(0)));
                 self.tell_watch(node);
             }
             _ => {
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -58,6 +58,10 @@
 const FADE: (f64, f64) = (0.85, 10.0);
 /// A cold server gets this multiple of a warm server's attempts, scaled by its present part of capacity.
 const COLD_RATE: f64 = 1.5;
+/// A call to discovery that failed is made again after between these parts of the time within which it must
+/// be asked: the first, and any later one. Against balancers that all ask at once: it takes a call of each in
+/// about that time, and works calls off in turn, those too that have waited for too long.
+const ASK_AGAIN: [(f64, f64); 2] = [(0.03, 0.75), (0.5, 1.0)];
 /// A key is hot that was asked for before among so many requests here: a part of all, whatever N is.
 const HOT: usize = 64;
 
@@ -665,7 +669,7 @@
     // The server list.
 
     fn server_list(&mut self, kind: ListKind, lines: Vec<ServerLine>) {
-        self.subscribe_tries = if kind == ListKind::Cached { self.subscribe_tries } else { 0 };
+        self.asked_again &= kind == ListKind::Cached;
         if kind != ListKind::Delta {
             self.servers.values_mut().for_each(|s| s.line.condition = Condition::Gone);
         }
@@ -685,12 +689,12 @@
         self.total = self.ready(false).map(|s| self.weight(s)).sum::<f64>().max(0.01);
     }
 
-    /// Discovery has little capacity: it is asked again later each time, and not by all at once.
+    /// Discovery has little capacity: it is asked again later, and not by all at once.
     fn discovery_failed(&mut self, out: &mut Vec<Action>) {
-        let base = (self.settings.ask_within / 16) << self.subscribe_tries.min(3);
-        self.subscribe_tries += 1;
-        let delay = (base as f64 * (0.5 + self.rng.unit())) as Micros;
-        self.wake(delay, Wake::Subscribe);
+        let (from, to) = ASK_AGAIN[usize::from(self.asked_again)];
+        let delay = self.settings.ask_within as f64 * (from + (to - from) * self.rng.unit());
+        self.asked_again = true;
+        self.wake(delay as Micros, Wake::Subscribe);
         out.push(Action::Log("discovery call failed or subscription lost: asking again".into()));
     }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -43,7 +43,8 @@
     pub(crate) crowded: bool,
     pub(crate) admitted: Rate,
     pub(crate) wakes: Wakes,
-    pub(crate) subscribe_tries: u32,
+    /// Whether discovery was asked again since it last gave a list.
+    pub(crate) asked_again: bool,
 }
 
 /// Why an attempt is out.
--- /dev/null
+++ b/tests/fleet.rs
@@ -0,0 +1,95 @@
+//! Many balancers that share nothing before what all of them share: sums over the fleet.
+#![allow(missing_docs)]
+
+mod common;
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+
+use common::*;
+use spardeal::*;
+
+/// Discovery as one service that works calls off in turn, those too that have waited too long meanwhile, and turns
+/// away only what finds very many ahead of it: each of six nodes or more gets one call answered in [`Discovery::ALL`].
+struct Discovery {
+    takes: Micros,
+    free_at: Micros,
+}
+
+impl Discovery {
+    const ALL: Micros = 8 * SECOND;
+    const TIMEOUT: Micros = 2 * SECOND;
+
+    /// When a call ends, and whether it brings a list.
+    fn call(&mut self, now: Micros) -> (Micros, bool) {
+        if self.free_at > now + 5 * Self::TIMEOUT {
+            return (now, false);
+        }
+        self.free_at = self.free_at.max(now) + self.takes;
+        let in_time = self.free_at <= now + Self::TIMEOUT;
+        (if in_time { self.free_at } else { now + Self::TIMEOUT }, in_time)
+    }
+}
+
+#[derive(PartialEq, Eq, PartialOrd, Ord)]
+enum Due {
+    Timer,
+    Called(bool),
+}
+
+/// When each of so many balancers has a list again, all of whose watches break at once.
+fn lists_again(count: u64) -> Vec<Micros> {
+    let config = Settings { ask_discovery: true, balancers: count as u32, ..settings() };
+    let mut discovery = Discovery { takes: Discovery::ALL / count.max(6), free_at: 0 };
+    let mut nodes: Vec<Policy> = (0..count).map(|seed| Policy::new(config.clone(), seed + 1)).collect();
+    let mut lists = vec![Micros::MAX; nodes.len()];
+    let mut due = BinaryHeap::new();
+    let told = |policy: &mut Policy, now, kind| {
+        let mut out = Vec::new();
+        policy.handle(now, Event::ServerList { kind, servers: vec![server(1), origin()] }, &mut out);
+        out
+    };
+    let begin = 60 * SECOND;
+    for (id, policy) in nodes.iter_mut().enumerate() {
+        for action in told(policy, begin, ListKind::Full) {
+            // The watch of the start stands already.
+            if let Action::Timer { after, .. } = action {
+                due.push(Reverse((begin + after, id, Due::Timer)));
+            }
+        }
+        due.push(Reverse((begin + SECOND, id, Due::Called(false))));
+    }
+    while let Some(Reverse((now, id, what))) = due.pop() {
+        if now > begin + 60 * SECOND || lists[id] != Micros::MAX {
+            continue;
+        }
+        let mut out = Vec::new();
+        match what {
+            Due::Timer => nodes[id].handle(now, Event::Timer(0), &mut out),
+            Due::Called(false) => out = told(&mut nodes[id], now, ListKind::Failed),
+            Due::Called(true) => lists[id] = now - begin - SECOND,
+        }
+        for action in out {
+            match action {
+                Action::Timer { after, .. } => due.push(Reverse((now + after, id, Due::Timer))),
+                Action::Subscribe(true) => {
+                    let (at, brings) = discovery.call(now);
+                    due.push(Reverse((at, id, Due::Called(brings))));
+                }
+                _ => {}
+            }
+        }
+    }
+    lists.sort_unstable();
+    lists
+}
+
+#[test]
+fn watches_that_break_all_at_once_are_all_back_soon() {
+    for count in [1, 6, 100] {
+        let lists = lists_again(count);
+        let at = |part: f64| lists[(((count - 1) as f64) * part) as usize] as f64 / 1e6;
+        println!("{count} nodes: lists again after {:.1} s, {:.1} s, {:.1} s", at(0.5), at(0.9), at(1.0));
+        assert!(at(0.9) <= 25.0, "{count} nodes: nine in ten have a list again after {} s", at(0.9));
+    }
+}
