Spread calls to discovery over the time it needs for all, so that it does not collapse

Traced: all 100 nodes asked again within 0.3 to 0.9 s; those that discovery queued failed after its 2 s, those behind were turned away at once, and with doublings up to 5 s the 100 nodes kept asking 10 to 40 times a second what takes 0.08 s a call (0.15 for a whole list): it worked on calls that nobody waited for. The nodes went on with servers that were gone (16,195 of 46,000 attempts could not connect). Ruled out: broken answers (5 of 100), silence of ours (ANSWER is longer than its time-out).

Change: the first retry comes within 0.03 to 0.5 of ask_within, the second after 0.2 to 0.4, later ones 0.5 to 1.0.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -59,9 +59,10 @@
 /// A cold server gets this multiple of a warm server's attempts, scaled by its present part of capacity.
 const COLD_RATE: f64 = 1.5;
 /// A call to discovery that failed is made again after between these parts of the time within which it must
-/// be asked: the first, and any later one. Against balancers that all ask at once: it takes a call of each in
-/// about that time, and works calls off in turn, those too that have waited for too long.
-const ASK_AGAIN: [(f64, f64); 2] = [(0.03, 0.75), (0.5, 1.0)];
+/// be asked: the first, the second, and any later one. Against balancers that all ask at once: it takes a call
+/// of each in about that time, and works calls off in turn, those too that have waited for too long. Two come
+/// soon, since what it has to tell counts as told before long.
+const ASK_AGAIN: [(f64, f64); 3] = [(0.03, 0.5), (0.2, 0.4), (0.5, 1.0)];
 /// A key is hot that was asked for before among so many requests here: a part of all, whatever N is.
 const HOT: usize = 64;
 
@@ -669,7 +670,7 @@
     // The server list.
 
     fn server_list(&mut self, kind: ListKind, lines: Vec<ServerLine>) {
-        self.asked_again &= kind == ListKind::Cached;
+        self.asked_again = if kind == ListKind::Cached { self.asked_again } else { 0 };
         if kind != ListKind::Delta {
             self.servers.values_mut().for_each(|s| s.line.condition = Condition::Gone);
         }
@@ -691,9 +692,9 @@
 
     /// Discovery has little capacity: it is asked again later, and not by all at once.
     fn discovery_failed(&mut self, out: &mut Vec<Action>) {
-        let (from, to) = ASK_AGAIN[usize::from(self.asked_again)];
+        let (from, to) = ASK_AGAIN[self.asked_again];
         let delay = self.settings.ask_within as f64 * (from + (to - from) * self.rng.unit());
-        self.asked_again = true;
+        self.asked_again = (self.asked_again + 1).min(ASK_AGAIN.len() - 1);
         self.wake(delay as Micros, Wake::Subscribe);
         out.push(Action::Log("discovery call failed or subscription lost: asking again".into()));
     }
--- a/src/state.rs
+++ b/src/state.rs
@@ -43,8 +43,8 @@
     pub(crate) crowded: bool,
     pub(crate) admitted: Rate,
     pub(crate) wakes: Wakes,
-    /// Whether discovery was asked again since it last gave a list.
-    pub(crate) asked_again: bool,
+    /// How often discovery was asked again since it last gave a list, as far as that makes a difference.
+    pub(crate) asked_again: usize,
 }
 
 /// Why an attempt is out.
