Simulate large fleets with a table at the origin and a discovery that takes time

Change: plans may state places in the origin's table (what comes on another connection is turned away) and the time of a call to discovery, which works calls off in turn, those too whose callers wait no more.

--- a/crates/stonevane-sim/src/discovery.rs
+++ b/crates/stonevane-sim/src/discovery.rs
@@ -4,6 +4,11 @@
 
 use crate::servers::Server;
 
+/// A call that has waited for so long fails, microseconds.
+const WAITS: u64 = 2_000_000;
+/// A call is turned away where those before it take more than so many times that.
+const OVERBOOKED: u64 = 4;
+
 /// One entry, and the version at which it last changed.
 #[derive(Debug, Clone)]
 pub struct Entry {
@@ -24,6 +29,8 @@
     pub down: bool,
     /// It tells changes out of order.
     pub old_news: bool,
+    /// When it has worked off the calls that it has taken.
+    free_at: u64,
 }
 
 impl Discovery {
@@ -37,7 +44,18 @@
             since: 0,
             index: 1,
         });
-        Discovery { entries: entries.collect(), index: 1, down: false, old_news: false }
+        Discovery { entries: entries.collect(), index: 1, down: false, old_news: false, free_at: 0 }
+    }
+
+    /// A call comes that it works on for so long, after those before it, also where their callers wait no more: when it
+    /// is over, and whether it is answered.
+    pub fn take(&mut self, now: u64, takes: u64) -> (u64, bool) {
+        if self.free_at > now + OVERBOOKED * WAITS {
+            return (now, false);
+        }
+        self.free_at = self.free_at.max(now) + takes;
+        let answers = self.free_at <= now + WAITS;
+        (if answers { self.free_at } else { now + WAITS }, answers)
     }
 
     /// It learns of a change.
--- a/crates/stonevane-sim/src/lib.rs
+++ b/crates/stonevane-sim/src/lib.rs
@@ -15,4 +15,4 @@
 pub use plan::{Fault, Plan, What};
 pub use shrink::{Shrunk, shrink};
 pub use stonevane_core::Mutant;
-pub use world::{Options, Verdict, run};
+pub use world::{Options, Sums, Verdict, run};
--- a/crates/stonevane-sim/src/plan.rs
+++ b/crates/stonevane-sim/src/plan.rs
@@ -134,6 +134,13 @@
     pub memory_mb: usize,
     /// The longest value, bytes.
     pub value: usize,
+    /// Connections that the origin holds: what comes on another is turned away; any number where it is left out.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub places: Option<usize>,
+    /// How long discovery, which works calls off in turn, takes for one, microseconds; any number at once where it is
+    /// left out.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub call: Option<u64>,
     /// What goes wrong, in the order of time.
     pub faults: Vec<Fault>,
 }
@@ -168,6 +175,8 @@
             sockets: [48, 96, 256][rng.rand_range(0..3) as usize],
             memory_mb: [16, 32, 64][rng.rand_range(0..3) as usize],
             value: [24, 24, 400, 9_000, 60_000][rng.rand_range(0..5) as usize],
+            places: None,
+            call: None,
             faults: Vec::new(),
         };
         if plan.per_s / nodes as f64 > 60.0 {
@@ -216,6 +225,54 @@
         plan
     }
 
+    /// A large fleet: 100 nodes before 60 caches, an origin whose table has fewer places than there are nodes, and a
+    /// discovery that takes 8 s for a call of each. All watches break while six in ten nodes are killed and come back,
+    /// a zone of caches is lost and returns cold, more than half of the others are replaced within 7 s, and of the rest
+    /// some are bad; which is when is drawn.
+    pub fn large(seed: u64) -> Plan {
+        let mut rng = Rand64::new(u128::from(seed) << 1);
+        let (nodes, caches) = (100, 60);
+        let mut faults = Vec::new();
+        let mut add = |at: u64, lasts: u64, what| faults.push(Fault { at, lasts, what });
+        let begin = 2_000_000 + rng.rand_range(0..1_000_000);
+        add(begin, 300_000, What::NoDiscovery);
+        let killed = begin + rng.rand_range(0..1_500_000);
+        (0..60).for_each(|node| add(killed, 1_000_000 + rng.rand_range(0..800_000), What::KillNode { node }));
+        let lost = begin + rng.rand_range(0..3_000_000);
+        (0..12).for_each(|cache| add(lost, 3_000_000, What::KillCache { cache }));
+        for cache in 12..48 {
+            add(begin + rng.rand_range(0..7_000_000), 1_000_000, What::ReplaceCache { cache });
+        }
+        add(begin, 6_000_000, What::SilentCache { cache: 48 });
+        add(begin, 6_000_000, What::VanishCache { cache: 49 });
+        add(begin, 6_000_000, What::TearCache { cache: 50, every: 2 });
+        add(begin, 6_000_000, What::GarbleCache { cache: 51 });
+        faults.sort_by_key(|fault| fault.at);
+        let length = faults.iter().map(|fault| fault.at + fault.lasts).max().unwrap_or(0) + TAIL;
+        Plan {
+            seed,
+            nodes,
+            caches,
+            length,
+            per_s: 400.0,
+            edits: 0.05,
+            moves: 0.0,
+            keys: 2_000,
+            warm: 1.0,
+            pipelined: 0.0,
+            delay: (300, 2_000),
+            split: 0.0,
+            slow: 0.0,
+            clocks: vec![0.0; nodes],
+            sockets: 256,
+            memory_mb: 32,
+            value: 24,
+            places: Some(40),
+            call: Some(8_000_000 / nodes as u64),
+            faults,
+        }
+    }
+
     /// When its last fault has ended.
     pub fn quiet_from(&self) -> u64 {
         self.faults.iter().map(|fault| fault.at + fault.lasts).max().unwrap_or(0)
@@ -233,7 +290,7 @@
     pub fn parse(text: &str) -> Result<Plan, String> {
         let plan: Plan = serde_json::from_str(text).map_err(|e| e.to_string())?;
         let bounds = [
-            ("nodes", plan.nodes as f64, 1.0, 64.0),
+            ("nodes", plan.nodes as f64, 1.0, 200.0),
             ("caches", plan.caches as f64, 1.0, 200.0),
             ("length", plan.length as f64, 1.0, 600e6),
             ("per_s", plan.per_s, 0.1, 10_000.0),
@@ -247,6 +304,8 @@
             ("sockets", plan.sockets as f64, 32.0, 1024.0),
             ("memory_mb", plan.memory_mb as f64, 16.0, 4096.0),
             ("value", plan.value as f64, 1.0, 65_536.0),
+            ("places", plan.places.unwrap_or(1) as f64, 1.0, 1e6),
+            ("call", plan.call.unwrap_or(1) as f64, 1.0, 60e6),
             ("clocks", plan.clocks.len() as f64, plan.nodes as f64, plan.nodes as f64),
         ];
         for (name, value, least, most) in bounds {
--- a/crates/stonevane-sim/src/servers.rs
+++ b/crates/stonevane-sim/src/servers.rs
@@ -125,6 +125,12 @@
         self.cores.stop_until(until);
     }
 
+    /// A request has come on a connection that there is no place for.
+    pub fn turn_away(&mut self, now: u64) -> Work {
+        self.number += 1;
+        Work { effect: Effect::Busy, version: 0, number: self.number, work: 0, at: now }
+    }
+
     /// A request has come, whole.
     pub fn work(&mut self, now: u64, asked: &Asked) -> Work {
         self.number += 1;
--- a/crates/stonevane-sim/src/wire.rs
+++ b/crates/stonevane-sim/src/wire.rs
@@ -26,6 +26,8 @@
     /// Whether the node's end is open, and the peer's.
     pub node_open: bool,
     pub peer_open: bool,
+    /// Whether the server's table had a place for it.
+    pub placed: bool,
     /// The node writes no more, and reads on for a moment.
     pub lingers: bool,
     /// The last moment at which anything arrives at the node, and at the peer.
--- a/crates/stonevane-sim/src/world.rs
+++ b/crates/stonevane-sim/src/world.rs
@@ -26,6 +26,8 @@
 const EPOCH: u64 = 1_790_000_000_000_000;
 /// How late discovery learns of a change.
 const LATE: u64 = 1_000_000;
+/// Until then a fleet that was started before its clients came is left out of discovery's account.
+const STARTED: u64 = 1_000_000;
 /// How long a call to discovery takes.
 const CALL: u64 = 150_000;
 /// How long a node reads on after its last answer.
@@ -54,6 +56,21 @@
     pub history: bool,
 }
 
+/// Sums over the whole fleet.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Sums {
+    /// Connections opened to servers.
+    pub opened: u64,
+    /// Requests to the origin.
+    pub origin: u64,
+    /// Of these, those that found no place in its table.
+    pub turned_away: u64,
+    /// Calls to discovery.
+    pub calls: u64,
+    /// Of these, those that were answered.
+    pub lists: u64,
+}
+
 /// What a run showed.
 #[derive(Debug, Clone)]
 pub struct Verdict {
@@ -65,6 +82,8 @@
     pub wishes: usize,
     /// Of them served.
     pub served: usize,
+    /// Sums over the whole fleet.
+    pub sums: Sums,
     /// Steps of the world.
     pub steps: u64,
     /// Simulated time, microseconds.
@@ -113,8 +132,9 @@
     Knows(String, &'static str, Option<u64>),
     /// Discovery's word reaches a node.
     Told(usize, u64, u64, Option<Listing>),
-    /// A call reaches discovery.
+    /// A call reaches discovery, or has been worked on there.
     Called(usize, u64, u64, Ask),
+    Worked(usize, u64, u64, Ask),
     Crowd(usize),
 }
 
@@ -166,6 +186,7 @@
     impatient: u32,
     crowd: u32,
     dark: u32,
+    sums: Sums,
     steps: u64,
     value: String,
     digest_of_value: String,
@@ -214,7 +235,8 @@
         classes: CLASSES.map(class).to_vec(),
         tenants: vec![Tenant { quota_per_s: plan.per_s * 2.0 + 100.0 }],
         ask_discovery: true,
-        ask_within: 6_000_000,
+        // Where calls have a price, what the platform allows a large fleet.
+        ask_within: if plan.call.is_some() { 10_000_000 } else { 6_000_000 },
         origin_kind: Some(1),
         max_attempts: 4,
         may_cancel: true,
@@ -293,6 +315,7 @@
             impatient: 0,
             crowd: 0,
             dark: 0,
+            sums: Sums::default(),
             steps: 0,
             digest_of_value: digest(value.as_bytes()),
             value,
@@ -403,6 +426,7 @@
             broken: self.broken,
             wishes: self.wishes.len(),
             served,
+            sums: self.sums,
             steps: self.steps,
             time: self.now,
             digest: self.digest,
@@ -421,6 +445,7 @@
             Ev::Wake(node, life) => self.wake(node, life),
             Ev::Done(wire, life, done) => self.done(wire, life, *done),
             Ev::Noise(wire, bytes) => self.server_says(wire, bytes),
+            Ev::Worked(node, life, era, ask) => self.called(node, life, era, ask, true),
             Ev::Arrive => self.arrive(),
             Ev::Try(wish) => self.try_wish(wish),
             Ev::Expire(wish, id) => self.expire(wish, &id),
@@ -429,7 +454,7 @@
             Ev::Start(node) => self.start(node),
             Ev::Knows(name, status, since) => self.knows(name, status, since),
             Ev::Told(node, life, era, listing) => self.told(node, life, era, listing),
-            Ev::Called(node, life, era, ask) => self.called(node, life, era, ask),
+            Ev::Called(node, life, era, ask) => self.called(node, life, era, ask, false),
             Ev::Crowd(at) => self.come(at),
         }
     }
@@ -790,6 +815,14 @@
         let server = self.servers.iter().position(|server| server.address == address).unwrap_or(0);
         let life = self.nodes[node].life;
         let wire = self.wire(node, life, id, Peer::Server(server));
+        self.sums.opened += 1;
+        if let Some(places) = self.plan.places.filter(|_| self.servers[server].origin) {
+            let held =
+                |it: &&Wire| it.peer == Peer::Server(server) && it.placed && it.node_open && it.peer_open;
+            // This one counts already.
+            let placed = self.wires.values().filter(held).count() <= places;
+            self.wires.entry(wire).and_modify(|it| it.placed = placed);
+        }
         self.nodes[node].wires.insert(id, wire);
         let at = self.now + self.delay();
         if !self.servers[server].vanished {
@@ -808,6 +841,7 @@
             peer,
             node_open: true,
             peer_open: true,
+            placed: true,
             lingers: false,
             to_node: 0,
             to_peer: 0,
@@ -940,7 +974,7 @@
                 return;
             }
             let Some(it) = self.wires.get_mut(&wire) else { return };
-            let (node, first) = (it.node, it.first);
+            let (node, first, placed) = (it.node, it.first, it.placed);
             let asked = match servers::take(&mut it.input, server.origin) {
                 Ok(Some(asked)) => asked,
                 Ok(None) => return,
@@ -951,7 +985,9 @@
                 it.first = now;
             }
             let (server, now) = (&mut self.servers[at], self.now);
-            let work = server.work(now, &asked);
+            let work = if placed { server.work(now, &asked) } else { server.turn_away(now) };
+            self.sums.origin += u64::from(server.origin);
+            self.sums.turned_away += u64::from(!placed);
             let (name, life, origin) = (server.name.clone(), server.life, server.origin);
             if origin && asked.write && work.effect == Effect::Ran {
                 // Copies that are made from now on are new.
@@ -1036,6 +1072,10 @@
             self.push(at, Ev::Noise(wire, bytes.clone()));
         }
         self.server_says(wire, bytes);
+        if let Some(it) = self.wires.get_mut(&wire).filter(|it| !it.placed) {
+            it.peer_open = false;
+            self.send_to_node(wire, Chunk::End);
+        }
     }
 
     fn server_says(&mut self, wire: WireId, bytes: Vec<u8>) {
@@ -1430,14 +1470,23 @@
         }
     }
 
-    fn called(&mut self, node: usize, life: u64, era: u64, ask: Ask) {
+    fn called(&mut self, node: usize, life: u64, era: u64, ask: Ask, taken: bool) {
         if self.nodes[node].life != life || self.nodes[node].core.is_none() {
             return;
         }
+        self.sums.calls += u64::from(!taken);
         if self.discovery.down {
             let at = self.now + self.delay();
             return self.push(at, Ev::Told(node, life, era, None));
         }
+        if let Some(takes) = self.plan.call.filter(|_| !taken && self.now > STARTED) {
+            let (at, answers) = self.discovery.take(self.now, takes);
+            return match answers {
+                true => self.push(at, Ev::Worked(node, life, era, ask)),
+                false => self.push(at, Ev::Told(node, life, era, None)),
+            };
+        }
+        self.sums.lists += 1;
         match ask {
             Ask::Watch { after } => {
                 // A whole list where it has none.
--- a/crates/stonevane-sim/tests/sim.rs
+++ b/crates/stonevane-sim/tests/sim.rs
@@ -77,6 +77,23 @@
     assert!(shrink(&Plan { faults: Vec::new(), ..plan }, Options::default(), 10).is_none(), "one that holds");
 }
 
+/// Large fleets in a mass restart, with a lost zone, a mass replacement and bad servers, by few seeds.
+#[test]
+fn a_large_fleet_keeps_the_rules_and_its_sums_within_bounds() {
+    let large = |seed: u64| (seed, run(&Plan::large(seed), Options::default()));
+    let seeds: Vec<_> = std::thread::scope(|scope| {
+        let threads: Vec<_> = (1..=4).map(|seed| scope.spawn(move || large(seed))).collect();
+        threads.into_iter().map(|thread| thread.join().unwrap()).collect()
+    });
+    for (seed, verdict) in seeds {
+        let (sums, part) = (verdict.sums, verdict.served as f64 / verdict.wishes as f64);
+        println!("seed {seed}: {part:.3} of {} served, {sums:?}", verdict.wishes);
+        assert!(verdict.holds(), "seed {seed}: {:?}, {:?}", verdict.report.findings, verdict.broken);
+        assert!(sums.turned_away * 10 < sums.origin, "seed {seed}: the origin turns many away: {sums:?}");
+        assert!(sums.lists * 3 > sums.calls, "seed {seed}: discovery answers few calls: {sums:?}");
+    }
+}
+
 /// A quiet fleet of one node, for cases that are made up.
 fn quiet(faults: Vec<Fault>) -> Plan {
     Plan {
@@ -97,6 +114,8 @@
         sockets: 96,
         memory_mb: 32,
         value: 200,
+        places: None,
+        call: None,
         faults,
     }
 }
--- a/crates/stonevane/src/sim.rs
+++ b/crates/stonevane/src/sim.rs
@@ -24,6 +24,7 @@
   stonevane sim run --seeds 1..2000
   stonevane sim run --seeds 1..40 --mutant reset-not-run         a deliberate fault of the core, to be found
   stonevane sim run --seeds 1..100 --scenario plan.json
+  stonevane sim run --seeds 1..8 --large                         100 nodes, 60 caches, with the fleet's sums
 
 The last line gives seeds, requests and failures.")]
     Run(Run),
@@ -77,6 +78,9 @@
     /// A plan, in the place of those of the seeds; each seed plays it with other random numbers.
     #[arg(long, value_name = "FILE")]
     scenario: Option<PathBuf>,
+    /// Large fleets, in the place of those of the seeds; the sums over each fleet are told.
+    #[arg(long, conflicts_with_all = ["scenario", "nodes"])]
+    large: bool,
     /// A deliberate fault.
     #[arg(long, value_parser = mutant)]
     mutant: Option<Mutant>,
@@ -165,13 +169,29 @@
                 if seed > last {
                     return;
                 }
-                let Ok(mut plan) = plan(self.scenario.as_ref(), seed) else { return };
+                let drawn =
+                    if self.large { Ok(Plan::large(seed)) } else { plan(self.scenario.as_ref(), seed) };
+                let Ok(mut plan) = drawn else { return };
                 if let Some(nodes) = self.nodes {
                     plan.nodes = nodes as usize;
                     plan.clocks.resize(plan.nodes, 0.0);
                     plan.faults.retain(|fault| fault.what.whom().1.is_none_or(|node| node < plan.nodes));
                 }
                 let verdict = run(&plan, options);
+                if self.large {
+                    let sums = &verdict.sums;
+                    warn!(
+                        "  seed {seed}: {} of {} requests served, {} connections opened, {} calls to the origin \
+                         ({} turned away), {} to discovery ({} answered)",
+                        verdict.served,
+                        verdict.wishes,
+                        sums.opened,
+                        sums.origin,
+                        sums.turned_away,
+                        sums.calls,
+                        sums.lists
+                    );
+                }
                 wishes.fetch_add(verdict.wishes as u64, Ordering::Relaxed);
                 time.fetch_add(verdict.time, Ordering::Relaxed);
                 done.fetch_add(1, Ordering::Relaxed);
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -59,9 +59,9 @@
 /// A cold server gets this multiple of a warm server's attempts, scaled by its present part of capacity.
 const COLD_RATE: f64 = 1.5;
 /// A call to discovery that failed is made again after between these parts of the time within which it must
-/// be asked: the first, the second, and any later one. Against balancers that all ask at once: it takes a call
-/// of each in about that time, and works calls off in turn, those too that have waited for too long. Two come
-/// soon, since what it has to tell counts as told before long.
+/// be asked: the first, the second, and any later one. Against balancers that all ask at once: it takes a
+/// call of each in about that time, and works calls off in turn, those too that have waited for too long. Two
+/// come soon, since what it has to tell counts as told before long.
 const ASK_AGAIN: [(f64, f64); 3] = [(0.03, 0.5), (0.2, 0.4), (0.5, 1.0)];
 /// A key is hot that was asked for before among so many requests here: a part of all, whatever N is.
 const HOT: usize = 64;
