--- a/crates/stonevane/src/sim.rs
+++ b/crates/stonevane/src/sim.rs
@@ -73,7 +73,7 @@
     #[arg(long, value_parser = seeds, default_value = "1..200")]
     seeds: (u64, u64),
     /// Nodes, in the place of what is drawn.
-    #[arg(long, value_parser = clap::value_parser!(u64).range(1..=64))]
+    #[arg(long, value_parser = clap::value_parser!(u64).range(1..=200))]
     nodes: Option<u64>,
     /// A plan, in the place of those of the seeds; each seed plays it with other random numbers.
     #[arg(long, value_name = "FILE")]
