Let overtaken timers set no further ones, and refuse settings that no deployment means

Need: settings of any size are to give finite limits or one clear line. A property test over figures from 0 to 1e30 found: - 184,946 timers in half a minute: each wake-up earlier than the one armed left a timer behind, which set another when it came, and so on for as long as the node ran (Wakes::timer_came forgot what was armed whichever timer came). Seen also with usual settings: 212 timers in ten idle seconds where 106 are due. - Reviews and postponed calls in a busy loop with aims of a microsecond; calls to discovery with no pause where the time within which it must be asked is 0; sums that overflow with times near the largest number.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -108,7 +108,7 @@
             Event::AnswerBegan { request, .. } | Event::ClientGone(request) => {
                 drop(self.held.remove(&request))
             }
-            Event::Timer(_) => self.wakes.timer_came(),
+            Event::Timer(_) => self.wakes.timer_came(now + self.settings.tick),
             Event::OriginShut { lasts } => self.origin_shut(lasts, out),
             Event::PeerMessage { .. } | Event::Probed { .. } => {}
         }
@@ -361,7 +361,8 @@
     /// The random delay of a blocked call.
     fn delay(&mut self, class: usize) -> Micros {
         let aim = self.settings.classes[class].aim as f64;
-        (aim * (DELAY.0 + (DELAY.1 - DELAY.0) * self.rng.unit())) as Micros + 1
+        // However short an aim is, waiting is no busy loop.
+        ((aim * (DELAY.0 + (DELAY.1 - DELAY.0) * self.rng.unit())) as Micros).max(1_000)
     }
 
     // The one place that sends.
@@ -701,7 +702,8 @@
     /// Discovery has little capacity: it is asked again later, and not by all at once.
     fn discovery_failed(&mut self, out: &mut Vec<Action>) {
         let (from, to) = ASK_AGAIN[self.asked_again];
-        let delay = self.settings.ask_within as f64 * (from + (to - from) * self.rng.unit());
+        // However short that is, not without a pause.
+        let delay = self.settings.ask_within.max(1_000_000) as f64 * (from + (to - from) * self.rng.unit());
         self.asked_again = (self.asked_again + 1).min(ASK_AGAIN.len() - 1);
         self.wake(delay as Micros, Wake::Subscribe);
         out.push(Action::Log("discovery call failed or subscription lost: asking again".into()));
@@ -711,7 +713,8 @@
 
     /// Moves the level that tenants are held to, by the strain seen lately.
     fn review(&mut self, out: &mut Vec<Action>) {
-        let period = (self.aim / 8).max(self.settings.tick).max(1);
+        // However short an aim is, a review is no busy loop.
+        let period = (self.aim / 8).max(self.settings.tick).max(5_000);
         let was = self.level;
         let strain = self.strain.value();
         let (floor, hold) = if strain > STRAIN.1 { (LEVEL.0, false) } else { (LEVEL.1, strain > STRAIN.0) };
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -189,9 +189,53 @@
     }
 }
 
+/// No time in the settings is longer: a day, microseconds. Sums of some of them stay far from what a number holds.
+const LONGEST: f64 = 86_400e6;
+
+/// What no deployment means: a text that was spoilt or is in other units.
+fn check(wire: &Wire) -> Result<(), String> {
+    let absurd = |name: &str, value: f64, bounds: &str| {
+        Err(format!("unreadable settings: {name} is {value}, and is to be {bounds}"))
+    };
+    if wire.balancers == 0 {
+        return absurd("balancers", 0.0, "1 at the least");
+    }
+    if wire.me >= wire.balancers {
+        return absurd("me", f64::from(wire.me), "less than balancers");
+    }
+    if wire.discovery == "ask" && wire.guarantees.ask_within_us < 1.0 {
+        return absurd("askWithinUs", wire.guarantees.ask_within_us, "more than 0 where discovery is asked");
+    }
+    let (limits, rules) = (&wire.limits, &wire.guarantees);
+    let classes = wire.classes.iter();
+    let times = classes.flat_map(|c| {
+        [("goalTimeUs", c.goal_time_us), ("deadlineUs", c.deadline_us), ("dedupWindowUs", c.dedup_window_us)]
+    });
+    let times = times.chain([
+        ("periodUs", wire.period_us),
+        ("maxRetryAfterUs", limits.max_retry_after_us),
+        ("connectTimeoutUs", limits.connect_timeout_us),
+        ("idleCloseUs", limits.idle_close_us),
+        ("askWithinUs", rules.ask_within_us),
+        ("coldUs", rules.cold_us),
+        ("drainGraceUs", rules.drain_grace_us),
+        ("tipAfterUs", rules.tip_after_us),
+    ]);
+    for (name, value) in times {
+        if value > LONGEST {
+            return absurd(name, value, "a day at the most");
+        }
+    }
+    match wire.realms.iter().find(|realm| !(0.0..=1e9).contains(&realm.quota_per_s)) {
+        Some(realm) => absurd("quotaPerS", realm.quota_per_s, "from 0 to 1e9"),
+        None => Ok(()),
+    }
+}
+
 /// Reads a settings text; the error is one plain line.
 pub fn read(text: &[u8]) -> Result<Deployment, String> {
     let wire: Wire = serde_json::from_slice(text).map_err(|e| format!("unreadable settings: {e}"))?;
+    check(&wire)?;
     let mut classes = Vec::with_capacity(wire.classes.len());
     for c in &wire.classes {
         classes.push(class(c)?);
--- a/src/state.rs
+++ b/src/state.rs
@@ -284,9 +284,10 @@
         self.queue.push(Reverse((time, wake)));
     }
 
-    /// The timer that was set has come.
-    pub fn timer_came(&mut self) {
-        self.armed = None;
+    /// A timer that was set by a time has come. One that comes while another is set for later was overtaken by an
+    /// earlier one, and leaves that as it is: else each of them would set a further one, and they would grow in number.
+    pub fn timer_came(&mut self, by: Micros) {
+        self.armed = self.armed.filter(|armed| *armed > by);
     }
 
     /// The next wake-up that is due; when none is, sees that a timer is set for the first to come. Those that are
--- a/tests/brain.rs
+++ b/tests/brain.rs
@@ -890,3 +890,21 @@
     node.pass(60 * SECOND);
     assert!(node.actions.len() < 1500, "{} actions in an idle minute", node.actions.len());
 }
+
+#[test]
+fn timers_that_were_overtaken_do_not_grow_in_number() {
+    // Found with settings of any size: each earlier wake-up left one timer more, and each of those set another when it
+    // came, for as long as the node ran.
+    let mut node = Node::new(settings(), 3);
+    for id in 1..=200 {
+        let actions = node.request(read(id, id));
+        let server = sent_to(&actions).unwrap();
+        node.outcome(id, 0, server, Status::Miss);
+        node.outcome(id, 1, ORIGIN, Status::Full);
+        node.pass(20 * MS);
+    }
+    node.pass(10 * SECOND);
+    let timers =
+        node.pass(10 * SECOND).iter().filter(|action| matches!(action, Action::Timer { .. })).count();
+    assert!(timers <= 120, "{timers} timers in ten seconds in which nothing happens");
+}
