--- a/crates/stonevane-core/tests/table.rs
+++ b/crates/stonevane-core/tests/table.rs
@@ -41,7 +41,6 @@
     calls: u64,
     opened: u64,
     turned_away: u64,
-    most: usize,
 }
 
 impl World {
@@ -56,7 +55,6 @@
             calls: 0,
             opened: 0,
             turned_away: 0,
-            most: 0,
         };
         let (mut rng, mut at) = (Rand64::new(7), START);
         loop {
@@ -100,7 +98,6 @@
                         let held = self.origin.values().filter(|held| **held).count();
                         self.origin.insert((node, id), held < TABLE);
                         self.opened += 1;
-                        self.most = self.most.max(held);
                     }
                     self.feed(node, Input::Opened(id));
                 }
