--- a/crates/stonevane-core/src/clients/resp.rs
+++ b/crates/stonevane-core/src/clients/resp.rs
@@ -13,6 +13,8 @@
 const MAX_WAIT_MS: f64 = 60_000.0;
 
 /// What a client's words ask for.
+// Moved once and never kept: a box would cost each request an allocation.
+#[allow(clippy::large_enum_variant)]
 pub enum Asked {
     /// Whether the node serves.
     Ping,
@@ -90,6 +92,7 @@
     }
     command.tenant = tenant.unwrap_or(0);
     let class = &deployment.settings.classes[command.class];
+    (command.rules, command.most) = (*class, deployment.settings.max_attempts);
     if write && matches!(class.effect, Effect::Keyed { .. }) && !keyed {
         return Err("no k for a keyed write");
     }
--- a/crates/stonevane-core/src/io.rs
+++ b/crates/stonevane-core/src/io.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use spardeal::Micros;
+use spardeal::settings::Deployment;
 
 use crate::list::{Era, Listing};
 use crate::reply::{ConnId, Reply};
@@ -33,6 +34,12 @@
     OriginShut(Micros),
     /// Discovery is elsewhere from now on.
     Move(SocketAddr),
+    /// Other settings hold from now on.
+    Settings(Box<Deployment>),
+    /// A file that was to bring other settings can't be used.
+    Unusable,
+    /// A person takes the cache server of a name out, or puts it back.
+    Exclude(String, bool),
     /// The platform asks the node to end.
     Terminate,
     /// Nothing has happened but time.
--- a/crates/stonevane-core/src/lib.rs
+++ b/crates/stonevane-core/src/lib.rs
@@ -7,8 +7,10 @@
 
 mod clients;
 mod faults;
+mod figures;
 mod io;
 mod list;
+pub mod management;
 mod memory;
 mod node;
 mod reply;
@@ -17,6 +19,7 @@
 mod timers;
 
 pub use faults::{Faults, Honest, Mutant};
+pub use figures::{Counts, Report};
 pub use io::{Ask, Call, Input, Job, Note, Output, Outputs};
 pub use list::{Endpoint, Era, Listing};
 pub use node::{Core, Count, Setup};
--- /dev/null
+++ b/crates/stonevane-core/src/management.rs
@@ -0,0 +1,191 @@
+//! The second address: what the bytes of a call ask for, and what is answered. No connection, no clock; one call to a
+//! connection.
+
+use std::fmt::Write;
+
+use stonevane_codec::http::{self, Malformed};
+
+/// A head that is longer than this is turned away, and so is a target of half of it.
+pub const MAX_HEAD: usize = 4096;
+/// A body says nothing here; a longer one is turned away before it is read.
+const MAX_BODY: usize = 1024;
+/// The longest name of a cache server in a call.
+const MAX_NAME: usize = 120;
+
+/// What a person, or the platform, asks for.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Call {
+    /// Whether this process takes clients.
+    Ready,
+    /// The figures.
+    Metrics,
+    /// A cache server is to be left out, or to be used again.
+    Exclude {
+        /// Its name.
+        name: String,
+        /// Whether it is out from now on.
+        out: bool,
+    },
+}
+
+/// An answer.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Answer {
+    status: u16,
+    allow: Option<&'static str>,
+    json: bool,
+    body: String,
+}
+
+impl Answer {
+    /// One with a line of plain text.
+    pub fn line(status: u16, body: impl Into<String>) -> Answer {
+        Answer { status, allow: None, json: false, body: body.into() + "\n" }
+    }
+
+    /// One that brings an object.
+    pub fn object(body: String) -> Answer {
+        Answer { status: 200, allow: None, json: true, body }
+    }
+
+    /// Its status.
+    pub fn status(&self) -> u16 {
+        self.status
+    }
+
+    /// Its bytes, after which the connection ends.
+    pub fn bytes(&self) -> Vec<u8> {
+        let reason = match self.status {
+            200 => "OK",
+            400 => "Bad Request",
+            404 => "Not Found",
+            405 => "Method Not Allowed",
+            408 => "Request Timeout",
+            413 => "Content Too Large",
+            414 => "URI Too Long",
+            431 => "Request Header Fields Too Large",
+            503 => "Service Unavailable",
+            _ => "Error",
+        };
+        let kind = if self.json { "application/json" } else { "text/plain; charset=utf-8" };
+        let mut head = format!(
+            "HTTP/1.1 {} {reason}\r\nContent-Type: {kind}\r\nContent-Length: {}\r\nCache-Control: no-store\r\n",
+            self.status,
+            self.body.len()
+        );
+        if let Some(allow) = self.allow {
+            let _ = write!(head, "Allow: {allow}\r\n");
+        }
+        head.push_str("Connection: close\r\n\r\n");
+        head.push_str(&self.body);
+        head.into_bytes()
+    }
+}
+
+/// Reads the call at the front of what a connection has brought; `None` while it is not whole. What stands behind it is
+/// not looked at: there is one call to a connection.
+///
+/// # Errors
+/// The answer to what is no call that is known here.
+pub fn read(bytes: &[u8]) -> Result<Option<Call>, Answer> {
+    let line = bytes.iter().position(|byte| *byte == b'\n').unwrap_or(bytes.len());
+    let head = match http::request_head(&bytes[..bytes.len().min(MAX_HEAD)]) {
+        Ok(Some(head)) => head,
+        Ok(None) if line > MAX_HEAD / 2 => return Err(Answer::line(414, "the target is too long")),
+        Ok(None) if bytes.len() >= MAX_HEAD => return Err(Answer::line(431, "the head is too long")),
+        Ok(None) => return Ok(None),
+        Err(Malformed) => return Err(Answer::line(400, "this is no call")),
+    };
+    let body = head.content_length.unwrap_or(0);
+    if head.target.len() > MAX_HEAD / 2 {
+        return Err(Answer::line(414, "the target is too long"));
+    }
+    if body > MAX_BODY {
+        return Err(Answer::line(413, "a call needs no body"));
+    }
+    let call = route(&head.method, &head.target)?;
+    Ok((bytes.len() >= head.length + body).then_some(call))
+}
+
+fn route(method: &str, target: &str) -> Result<Call, Answer> {
+    // The absolute form names the authority first (RFC 9112, 3.2.2).
+    let path = match target.strip_prefix("http://") {
+        Some(rest) => rest.find('/').map_or("/", |at| &rest[at..]),
+        None => target,
+    };
+    let path = path.split(['?', '#']).next().unwrap_or("");
+    let (call, allow) = match path {
+        "/ready" => (Call::Ready, "GET"),
+        "/metrics" => (Call::Metrics, "GET"),
+        _ => {
+            let rest = path.strip_prefix("/cache-servers/").and_then(|rest| rest.split_once('/'));
+            let (out, name) = match rest {
+                Some(("disable", name)) => (true, name),
+                Some(("enable", name)) => (false, name),
+                _ => return Err(Answer::line(404, "there is no such call")),
+            };
+            let name = decode(name).ok_or_else(|| Answer::line(400, "the name can't be read"))?;
+            if name.is_empty() || name.len() > MAX_NAME || name.contains('/') {
+                return Err(Answer::line(404, "there is no cache server of that name"));
+            }
+            (Call::Exclude { name, out }, "PUT")
+        }
+    };
+    if method != allow {
+        let answer = Answer::line(405, format!("{path} is called by {allow}"));
+        return Err(Answer { allow: Some(allow), ..answer });
+    }
+    Ok(call)
+}
+
+/// Takes percent-encoding off (RFC 3986, 2.1).
+fn decode(text: &str) -> Option<String> {
+    let mut out = Vec::with_capacity(text.len());
+    let mut bytes = text.bytes();
+    while let Some(byte) = bytes.next() {
+        let hex = |byte: Option<u8>| char::from(byte?).to_digit(16).map(|digit| digit as u8);
+        out.push(if byte == b'%' { hex(bytes.next())? * 16 + hex(bytes.next())? } else { byte });
+    }
+    let name = String::from_utf8(out).ok()?;
+    (!name.chars().any(char::is_control)).then_some(name)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn status(text: &str) -> Option<u16> {
+        read(text.as_bytes()).err().map(|answer| answer.status())
+    }
+
+    #[test]
+    fn calls_are_read_whole_and_at_any_cut() {
+        let put = "PUT /cache-servers/disable/s-5be2%61 HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n\r\n{}";
+        for cut in 0..put.len() {
+            assert_eq!(read(&put.as_bytes()[..cut]), Ok(None), "{cut} bytes");
+        }
+        let out = |out| Call::Exclude { name: "s-5be2a".into(), out };
+        assert_eq!(read(put.as_bytes()), Ok(Some(out(true))));
+        let back = "PUT http://h:1/cache-servers/enable/s-5be2a HTTP/1.1\r\n\r\nGET /ready HTTP/1.1\r\n\r\n";
+        assert_eq!(read(back.as_bytes()), Ok(Some(out(false))));
+        assert_eq!(read(b"GET /ready HTTP/1.1\r\nHost: x\r\n\r\n"), Ok(Some(Call::Ready)));
+        assert_eq!(read(b"GET /metrics?all HTTP/1.0\r\n\r\n"), Ok(Some(Call::Metrics)));
+    }
+
+    #[test]
+    fn what_is_no_call_is_answered_as_http_has_it() {
+        assert_eq!(status("nonsense\r\n\r\n"), Some(400));
+        assert_eq!(status("GET / HTTP/1.1\r\n\r\n"), Some(404));
+        assert_eq!(status("PUT /cache-servers/drop/a HTTP/1.1\r\n\r\n"), Some(404));
+        assert_eq!(status("PUT /cache-servers/disable/ HTTP/1.1\r\n\r\n"), Some(404));
+        assert_eq!(status("PUT /cache-servers/disable/%zz HTTP/1.1\r\n\r\n"), Some(400));
+        assert_eq!(status("PUT /cache-servers/disable/%0a HTTP/1.1\r\n\r\n"), Some(400));
+        assert_eq!(status("PUT /ready HTTP/1.1\r\nContent-Length: 9999\r\n\r\n"), Some(413));
+        assert_eq!(status("PUT /ready HTTP/1.1\r\nContent-Length: -1\r\n\r\n"), Some(400));
+        assert_eq!(status(&format!("GET /{} HTTP/1.1\r\n\r\n", "a".repeat(3000))), Some(414));
+        assert_eq!(status(&format!("GET /ready HTTP/1.1\r\nX: {}", "a".repeat(4096))), Some(431));
+        let answer = read(b"POST /metrics HTTP/1.1\r\n\r\n").unwrap_err();
+        let text = String::from_utf8(answer.bytes()).unwrap();
+        assert!(text.starts_with("HTTP/1.1 405 ") && text.contains("\r\nAllow: GET\r\n"), "{text}");
+    }
+}
--- a/crates/stonevane-core/src/node.rs
+++ b/crates/stonevane-core/src/node.rs
@@ -17,6 +17,7 @@
 
 use crate::clients::{self, Asked, Clients, Limits, Over, PIECE, Session, Slot};
 use crate::faults::{Faults, Honest, Mutant};
+use crate::figures::{Counts, Figures, Report};
 use crate::io::{Ask, Call, Input, Job, Note, Output, Outputs};
 use crate::list::{Era, Listing};
 use crate::memory::{Memory, Share};
@@ -44,6 +45,8 @@
 /// An attempt waits so long for a connection that still rests, where there is no place for a new one: about what
 /// opening one takes.
 const RESTED: Micros = 3_000;
+/// For so long after new settings, clients may name what the last ones had: 1.2 s, and the slack of all limits on sockets.
+const SETTLES: Micros = 1_250_000;
 /// The longest value that a server's answer may hold.
 const MAX_ANSWER: usize = 4 * 1024 * 1024;
 
@@ -70,10 +73,17 @@
     pub store: bool,
     /// Whether caches are told of copies, so that it must be known which there are.
     pub copies: bool,
+    /// Sockets that are held back for others than clients, servers and discovery.
+    pub others: usize,
+    /// Names of cache servers that people have taken out.
+    pub excluded: Vec<String>,
 }
 
 struct Server {
     address: SocketAddr,
+    /// Its entry in the list, in the module's form but for zone and kind, which are names here.
+    line: ServerLine,
+    names: [Box<str>; 2],
     speaks: Speaks,
     condition: Condition,
     /// When it last answered anything.
@@ -91,6 +101,8 @@
     /// Attempts without an outcome.
     out: u16,
     over: bool,
+    /// Where it is counted.
+    counted: usize,
     /// Caches that lacked its key, and the newest version that one of them was told of.
     missed: Vec<ServerId>,
     at_least: u64,
@@ -130,6 +142,13 @@
     /// What it does wrong on purpose: nothing, but in the simulator.
     faults: F,
     deployment: Deployment,
+    /// The settings that hold once clients have had their time, where others came a moment ago.
+    settles: Option<(Micros, Box<Deployment>)>,
+    figures: Figures,
+    /// Where each class is counted.
+    counted: Vec<usize>,
+    /// Names of the servers that are out by hand.
+    excluded: HashMap<ServerId, String>,
     now: Micros,
     policy: Policy,
     events: VecDeque<Event>,
@@ -182,7 +201,7 @@
 impl<F: Faults> Core<F> {
     /// A node that does something wrong on purpose.
     pub fn with_faults(now: Micros, setup: Setup, faults: F) -> Core<F> {
-        let Setup { mut deployment, sockets, known, .. } = setup;
+        let Setup { mut deployment, sockets, known, others, excluded, .. } = setup;
         if faults.plays(Mutant::LongWindow) {
             for class in &mut deployment.settings.classes {
                 if let Effect::Keyed { window, .. } = &mut class.effect {
@@ -192,7 +211,7 @@
         }
         // Clients and servers share the table of sockets; neither can take more of it than leaves the others a
         // third at the least.
-        let places = sockets - (RESERVE + sockets / 32).min(sockets / 2);
+        let places = sockets - (RESERVE + others + sockets / 32).min(sockets / 2);
         let part = places * 2 / 3;
         let memory = Memory::new(setup.memory_mb);
         let aim = deployment.settings.classes.iter().map(|class| class.aim).max().unwrap_or(0);
@@ -230,8 +249,14 @@
             ends_at: None,
             deaf: false,
             out: Outputs::new(),
+            settles: None,
+            figures: Figures::default(),
+            counted: Vec::new(),
+            excluded: HashMap::new(),
             deployment,
         };
+        core.counted = core.figures.name(&core.deployment.classes).unwrap_or_default();
+        excluded.into_iter().for_each(|name| core.exclude(name, true));
         core.list(known, Some(ListKind::Cached));
         if !core.deployment.settings.ask_discovery {
             core.ask(Ask::Follow);
@@ -331,6 +356,9 @@
             }
             Input::OriginShut(lasts) => self.tell(Event::OriginShut { lasts }),
             Input::Move(address) => self.move_to(address),
+            Input::Settings(deployment) => self.settings(deployment),
+            Input::Unusable => self.figures.reloads_failed += 1,
+            Input::Exclude(name, out) => self.exclude(name, out),
             Input::Terminate => self.terminate(),
             Input::Wake => {}
         }
@@ -400,6 +428,7 @@
             }
             Due::Conn(id) => self.limit(id),
             Due::Pressure => {}
+            Due::Settled => self.settled(),
             Due::Sweep => {
                 let gone = self.pool.sweep(self.now);
                 gone.into_iter().for_each(|id| self.out.push_back(Output::Close(id)));
@@ -496,6 +525,7 @@
             && conn.state == State::Writing
         {
             conn.state = State::Reading;
+            self.figures.attempts += 1;
             self.resume(id);
         }
     }
@@ -639,6 +669,9 @@
                     self.clients.ids.remove(&id);
                 }
                 self.owed -= 1;
+                if let Some(open) = self.open.get(&request) {
+                    self.figures.class(open.counted).left += 1;
+                }
                 self.close_request(request);
                 self.tell(Event::ClientGone(request));
             }
@@ -660,13 +693,18 @@
             Err(what) => return session.answer_now(format!("-ERR {what}\r\n")),
             Ok(Asked::Command(command)) => command,
         };
+        let counted = self.counted[command.class];
+        let counts = self.figures.class(counted);
+        counts.taken += 1;
         // Forced by a full table of sockets: refused, as it was never sent, and its place is free again.
         if session.late && crowded {
             session.broken = true;
+            counts.refused += 1;
             return session.answer_now("-BUSY\r\n");
         }
         session.late = false;
         if self.clients.ids.contains(&command.id) {
+            counts.failed += 1;
             return session.answer_now("-ERR a request with this id is open\r\n");
         }
         // Forced by memory: a request that finds the table full is turned away, and was never sent. What it holds is
@@ -674,7 +712,10 @@
         let value = command.value.as_ref().map_or(0, Bytes::len);
         let most = self.deployment.max_open.min(MAX_OPEN);
         let share = self.memory.try_take(PIECE + 2 * value).filter(|_| self.owed < most);
-        let Some(share) = share else { return session.answer_now("-BUSY\r\n") };
+        let Some(share) = share else {
+            counts.refused += 1;
+            return session.answer_now("-BUSY\r\n");
+        };
         let id = self.next_request;
         self.next_request += 1;
         self.owed += 1;
@@ -694,8 +735,19 @@
             size: command.size,
         };
         let (share, missed) = (Some(share), Vec::new());
-        let open =
-            Open { command, client, slot, share, ends, sent: 0, out: 0, over: false, missed, at_least: 0 };
+        let open = Open {
+            command,
+            client,
+            slot,
+            share,
+            ends,
+            sent: 0,
+            out: 0,
+            over: false,
+            counted,
+            missed,
+            at_least: 0,
+        };
         self.open.insert(id, open);
         self.timers.push(ends, Due::Deadline(id));
         self.tell(Event::Request(request));
@@ -710,6 +762,12 @@
             None => (Final::Failed, None),
         };
         let (client, mut slot) = (open.client, open.slot);
+        let counts = self.figures.class(open.counted);
+        *match says {
+            Final::Served(_) => &mut counts.served,
+            Final::Refused { .. } => &mut counts.refused,
+            Final::Failed => &mut counts.failed,
+        } += 1;
         self.close_request(id);
         let Some(session) = self.clients.sessions.get_mut(&client) else { return };
         if self.faults.plays(Mutant::SwapAnswers) {
@@ -796,8 +854,7 @@
         let Some(open) = self.open.get_mut(&id) else { return };
         let key = (id, open.sent);
         (open.sent, open.out) = (open.sent + 1, open.out + 1);
-        let allowed =
-            !open.over && u32::from(key.1) < self.deployment.settings.max_attempts && self.now < open.ends;
+        let allowed = !open.over && u32::from(key.1) < open.command.most && self.now < open.ends;
         let limit = if give_up_after == 0 { open.ends } else { open.ends.min(self.now + give_up_after) };
         let target = self.servers.get(&server).filter(|_| allowed).map(|s| (s.address, s.speaks));
         let conn = target.and_then(|(address, speaks)| self.connection(server, address, speaks, key));
@@ -889,6 +946,7 @@
         let address = self.pool.get(id).map(|conn| conn.address);
         let server = self.servers.get(&attempt.server);
         let server = server.filter(|s| s.condition == Condition::Ready && Some(s.address) == address);
+        let server = server.filter(|_| !self.excluded.contains_key(&attempt.server));
         let open = self.open.get(&key.0).filter(|open| !open.over && self.now < open.ends);
         let (Some(_), Some(open)) = (server, open) else {
             self.release(id, attempt.server);
@@ -1092,7 +1150,6 @@
         let none = kind == ListKind::Cached && listing.endpoints.is_empty();
         self.index = (!none).then_some(listing.index);
         let mut lines: Vec<ServerLine> = Vec::with_capacity(listing.endpoints.len());
-        let place = |names: &[String], name: &String| names.iter().position(|known| known == name);
         for entry in &listing.endpoints {
             let condition = match entry.status.as_str() {
                 "active" => Condition::Ready,
@@ -1103,19 +1160,17 @@
             let id = xxh3_64(entry.name.as_bytes()) as ServerId;
             let address = entry.address.parse().ok().or_else(|| self.servers.get(&id).map(|s| s.address));
             let Some(address) = address else { continue };
-            let kind = place(&self.deployment.kinds, &entry.kind).unwrap_or(usize::from(u16::MAX)) as u16;
-            let speaks = match self.deployment.settings.origin_kind == Some(kind) {
-                true => self.origin,
-                false => Speaks::Cache,
-            };
+            let names = [entry.zone.as_str().into(), entry.kind.as_str().into()];
+            let (zone, kind) = self.placed(&names);
+            let speaks = self.speaks(kind);
             // In the module's clock, which is Unix time here; 0 stays 0, and nothing starts in the future.
             let started =
                 if entry.since_ms == 0 { 0 } else { entry.since_ms.saturating_mul(1_000).min(self.now) };
-            let zone = place(&self.deployment.zones, &entry.zone).unwrap_or(255) as u8;
             let cell = entry.group;
-            lines.push(ServerLine { id, zone, cell, kind, weight: entry.weight, started, condition });
+            let line = ServerLine { id, zone, cell, kind, weight: entry.weight, started, condition };
+            lines.push(line.clone());
             let heard = self.servers.get(&id).map_or(0, |server| server.heard);
-            let before = self.servers.insert(id, Server { address, speaks, condition, heard });
+            let before = self.servers.insert(id, Server { address, line, names, speaks, condition, heard });
             if condition != Condition::Ready || before.is_some_and(|before| before.address != address) {
                 self.close_idle(id);
             }
@@ -1141,6 +1196,144 @@
         self.tell(Event::ServerList { kind, servers: lines });
     }
 
+    /// Zone and kind of a server by their names, as the settings number them.
+    fn placed(&self, names: &[Box<str>; 2]) -> (u8, u16) {
+        let place = |known: &[String], name: &str| known.iter().position(|known| known == name);
+        let zone = place(&self.deployment.zones, &names[0]).unwrap_or(255) as u8;
+        let kind = place(&self.deployment.kinds, &names[1]).unwrap_or(usize::from(u16::MAX)) as u16;
+        (zone, kind)
+    }
+
+    fn speaks(&self, kind: u16) -> Speaks {
+        if self.deployment.settings.origin_kind == Some(kind) { self.origin } else { Speaks::Cache }
+    }
+
+    // Settings that come while it runs.
+
+    /// Takes other settings. Clients go on naming what was for a moment: meanwhile a class that changed is held to the
+    /// stricter of both its meanings, and one that was dropped keeps its own.
+    fn settings(&mut self, deployment: Box<Deployment>) {
+        let mut names = self.deployment.classes.clone();
+        names.extend(
+            deployment.classes.iter().filter(|name| !self.deployment.classes.contains(name)).cloned(),
+        );
+        if self.figures.name(&names).is_none() {
+            self.out.push_back(Output::Log(Note::Module("reload: too many classes since the start".into())));
+            self.figures.reloads_failed += 1;
+            return;
+        }
+        self.figures.reloads_ok += 1;
+        let mut until = (*deployment).clone();
+        for (name, class) in self.deployment.classes.iter().zip(&self.deployment.settings.classes) {
+            // What an earlier one dropped has had its time.
+            let retired = self.settles.as_ref().is_some_and(|(_, last)| !last.classes.contains(name));
+            match until.classes.iter().position(|known| known == name) {
+                Some(place) => {
+                    let both = &mut until.settings.classes[place];
+                    *both = both.stricter(class);
+                }
+                None if retired => {}
+                None => {
+                    until.classes.push(name.clone());
+                    until.settings.classes.push(*class);
+                }
+            }
+        }
+        let most = &mut until.settings.max_attempts;
+        *most = (*most).min(self.deployment.settings.max_attempts);
+        self.settles = Some((self.now + SETTLES, deployment));
+        self.timers.push(self.now + SETTLES, Due::Settled);
+        self.adopt(until);
+    }
+
+    /// Clients name what the latest settings have, and nothing else.
+    fn settled(&mut self) {
+        if self.settles.as_ref().is_some_and(|(at, _)| *at <= self.now)
+            && let Some((_, deployment)) = self.settles.take()
+        {
+            self.adopt(*deployment);
+        }
+    }
+
+    fn adopt(&mut self, mut deployment: Deployment) {
+        let before = &self.deployment;
+        // How lists come is the platform's build, and changes with a new process only.
+        deployment.settings.ask_discovery = before.settings.ask_discovery;
+        deployment.settings.shares_fetches = before.settings.shares_fetches;
+        let tenants = deployment.tenants.iter().map(|name| before.tenants.iter().position(|was| was == name));
+        let tenants = tenants.collect();
+        let moved = before.zones != deployment.zones
+            || before.kinds != deployment.kinds
+            || before.settings.origin_kind != deployment.settings.origin_kind;
+        let aim = deployment.settings.classes.iter().map(|class| class.aim).max().unwrap_or(0);
+        self.half_told = (aim / HALF_TOLD).clamp(10_000, 250_000);
+        self.pool.retune(deployment.idle_close);
+        self.counted = self.figures.name(&deployment.classes).unwrap_or_default();
+        self.deployment = deployment;
+        let settings = Box::new(self.deployment.settings.clone());
+        self.tell(Event::Settings { settings, tenants });
+        if moved {
+            // Servers are told anew, by the numbers that zones and kinds have now.
+            let mut ids: Vec<_> = self.servers.keys().copied().collect();
+            ids.sort_unstable();
+            let mut lines = Vec::with_capacity(ids.len());
+            for id in ids {
+                let Some((zone, kind)) = self.servers.get(&id).map(|s| self.placed(&s.names)) else {
+                    continue;
+                };
+                let speaks = self.speaks(kind);
+                let Some(server) = self.servers.get_mut(&id) else { continue };
+                (server.line.zone, server.line.kind, server.speaks) = (zone, kind, speaks);
+                lines.push(server.line.clone());
+            }
+            self.tell(Event::ServerList { kind: ListKind::Delta, servers: lines });
+        }
+    }
+
+    // Servers out by hand, and figures.
+
+    /// Whether a cache server of a name is listed, or is out by hand.
+    pub fn knows(&self, name: &str) -> bool {
+        let id = xxh3_64(name.as_bytes()) as ServerId;
+        let listed = self.servers.get(&id).is_some_and(|server| server.speaks == Speaks::Cache);
+        listed || self.excluded.contains_key(&id)
+    }
+
+    fn exclude(&mut self, name: String, out: bool) {
+        let server = xxh3_64(name.as_bytes()) as ServerId;
+        match out {
+            true => drop(self.excluded.insert(server, name)),
+            false => drop(self.excluded.remove(&server)),
+        }
+        self.tell(Event::Exclude { server, out });
+    }
+
+    /// Whether it takes clients.
+    pub fn ready(&self) -> bool {
+        self.phase == Phase::Ready && self.ends_at.is_none()
+    }
+
+    /// The figures.
+    pub fn report(&self) -> Report<'_> {
+        let by = |of: fn(&Counts) -> u64| self.figures.classes().map(|(name, c)| (name, of(c))).collect();
+        Report {
+            served: by(|c| c.served),
+            refused: by(|c| c.refused),
+            failed: by(|c| c.failed),
+            attempts: self.figures.attempts,
+            in_flight: self.owed,
+            cache_servers_known: self.servers.values().filter(|s| s.speaks == Speaks::Cache).count(),
+            cache_servers_excluded: self.policy.avoided(),
+            reloads_ok: self.figures.reloads_ok,
+            reloads_failed: self.figures.reloads_failed,
+        }
+    }
+
+    /// Counts of each class.
+    pub fn counts(&self) -> impl Iterator<Item = (&str, &Counts)> {
+        self.figures.classes()
+    }
+
     fn forget(&mut self, id: ServerId) {
         self.servers.remove(&id);
         self.pool.forget(id);
--- a/crates/stonevane-core/src/request.rs
+++ b/crates/stonevane-core/src/request.rs
@@ -2,7 +2,7 @@
 //! the [`Final`] that comes back; it decides nothing.
 
 use bytes::Bytes;
-use spardeal::{Key, Micros};
+use spardeal::{Class, Key, Micros};
 use xxhash_rust::xxh3::xxh3_64;
 
 /// Where the node stands.
@@ -31,6 +31,10 @@
     pub value: Option<Bytes>,
     /// Position of its class.
     pub class: usize,
+    /// What that class means, for as long as the request lives.
+    pub rules: Class,
+    /// How many attempts it may make.
+    pub most: u32,
     /// Position of its tenant.
     pub tenant: usize,
     /// For how long its client waits.
--- a/crates/stonevane-core/src/servers/mod.rs
+++ b/crates/stonevane-core/src/servers/mod.rs
@@ -45,6 +45,11 @@
         Pool { conns, idle, idle_limit: idle_close / 2, keeps, rest }
     }
 
+    /// Servers close a connection that was idle for `idle_close` from now on.
+    pub fn retune(&mut self, idle_close: Micros) {
+        self.idle_limit = idle_close / 2;
+    }
+
     /// The longest time for which an idle connection is held.
     fn longest_keep(&self, speaks: Speaks) -> Micros {
         if speaks == Speaks::Origin { SHARED.min(self.idle_limit) } else { self.idle_limit }
--- a/crates/stonevane-core/src/timers.rs
+++ b/crates/stonevane-core/src/timers.rs
@@ -26,6 +26,8 @@
     Drain,
     /// Whether all is answered is looked at.
     Ended,
+    /// Clients have had their time to name what the latest settings have.
+    Settled,
 }
 
 /// All that is due, the earliest first; what is due at the same time in the order of [`Due`].
--- a/crates/stonevane-core/tests/common/mod.rs
+++ b/crates/stonevane-core/tests/common/mod.rs
@@ -62,6 +62,8 @@
         servers: operator::Servers { rest },
         store,
         copies: store,
+        others: 0,
+        excluded: Vec::new(),
     };
     Core::new(START, setup)
 }
--- a/crates/stonevane-node/src/config.rs
+++ b/crates/stonevane-node/src/config.rs
@@ -14,6 +14,8 @@
 pub struct Config {
     /// Where clients connect.
     pub listen: SocketAddr,
+    /// The second address, where one is configured.
+    pub mgmt: Option<SocketAddr>,
     /// Where discovery is asked.
     pub discovery: SocketAddr,
     /// Seed of the module's random numbers.
@@ -26,6 +28,8 @@
     pub known: Listing,
     /// The settings.
     pub deployment: Deployment,
+    /// The file as it stood.
+    pub text: serde_json::Value,
     /// What the operator file sets.
     pub operator: Operator,
 }
@@ -39,6 +43,8 @@
     File(String, std::io::Error),
     /// It is not what it should be.
     Json(serde_json::Error),
+    /// It lacks a key that the file before it had.
+    Missing(String),
     /// A field has no usable value.
     Field(&'static str, String),
     /// The settings can't be used.
@@ -51,6 +57,7 @@
             ConfigError::Unset(name) => write!(f, "{name} is not set"),
             ConfigError::File(path, e) => write!(f, "cannot read {path}: {e}"),
             ConfigError::Json(e) => write!(f, "unreadable configuration: {e}"),
+            ConfigError::Missing(key) => write!(f, "the configuration lacks {key}, which the last one had"),
             ConfigError::Field(name, value) => write!(f, "unusable {name} in the configuration: {value:?}"),
             ConfigError::Settings(e) => write!(f, "{e}"),
         }
@@ -61,6 +68,7 @@
 #[serde(default)]
 struct File {
     listen: String,
+    mgmt: String,
     discovery: String,
     seed: String,
     limits: Limits,
@@ -70,8 +78,8 @@
 
 impl Default for File {
     fn default() -> Self {
-        let (listen, discovery, seed) = (String::new(), String::new(), String::new());
-        File { listen, discovery, seed, limits: Limits::default(), known: None, settings: None }
+        let (listen, mgmt, discovery, seed) = Default::default();
+        File { listen, mgmt, discovery, seed, limits: Limits::default(), known: None, settings: None }
     }
 }
 
@@ -97,19 +105,24 @@
 impl Config {
     /// Reads the configuration that the environment names, at the start.
     pub fn from_env() -> Result<Config, ConfigError> {
-        Self::read(false)
+        Self::read(None)
     }
 
     /// Reads it again. Against a reload that changes nothing: the environment is that of the start, so what
     /// the file says of discovery goes before it now.
-    pub fn again() -> Result<Config, ConfigError> {
-        Self::read(true)
+    /// Nothing is taken of a file that lacks a key which the last one that was taken had.
+    pub fn again(last: &serde_json::Value) -> Result<Config, ConfigError> {
+        Self::read(Some(last))
     }
 
-    fn read(again: bool) -> Result<Config, ConfigError> {
+    fn read(last: Option<&serde_json::Value>) -> Result<Config, ConfigError> {
         let var = |name| std::env::var(name).ok().filter(|value| !value.is_empty());
         let path = var("ROUTER_CONFIG").ok_or(ConfigError::Unset("ROUTER_CONFIG"))?;
         let text = std::fs::read(&path).map_err(|e| ConfigError::File(path, e))?;
+        let value = serde_json::from_slice(&text).map_err(ConfigError::Json)?;
+        if let Some(key) = last.and_then(|last| missing(last, &value)) {
+            return Err(ConfigError::Missing(key));
+        }
         let file: File = serde_json::from_slice(&text).map_err(ConfigError::Json)?;
         let address = |name, value: String| value.parse().map_err(|_| ConfigError::Field(name, value));
         let settings = file.settings.ok_or_else(|| ConfigError::Field("settings", String::new()))?;
@@ -124,19 +137,47 @@
             return Err(ConfigError::Field("limits.memory_mb", file.limits.memory_mb.to_string()));
         }
         let discovery = match var("ROUTER_DISCOVERY") {
-            Some(at_start) if !again || file.discovery.is_empty() => at_start,
+            Some(at_start) if last.is_none() || file.discovery.is_empty() => at_start,
             _ => file.discovery,
         };
+        let mgmt = Some(var("ROUTER_MGMT").unwrap_or(file.mgmt)).filter(|at| !at.is_empty());
         let seed = u64::from_str_radix(&file.seed, 16);
         Ok(Config {
             listen: address("listen", var("ROUTER_LISTEN").unwrap_or(file.listen))?,
+            mgmt: mgmt.map(|at| address("mgmt", at)).transpose()?,
             discovery: address("discovery", discovery)?,
             seed: seed.unwrap_or_else(|_| xxh3_64(file.seed.as_bytes())),
             sockets: file.limits.sockets.min(1024),
             memory_mb: file.limits.memory_mb,
             known: file.known.unwrap_or_default(),
             deployment,
+            text: value,
             operator: Operator::default(),
         })
     }
 }
+
+/// The first key that one file has and a later one lacks. Entries of a list (classes, tenants) come and go; each has the
+/// keys that all of them had before.
+fn missing(last: &serde_json::Value, now: &serde_json::Value) -> Option<String> {
+    use serde_json::Value;
+    match (last, now) {
+        (Value::Object(last), Value::Object(now)) => last.iter().find_map(|(key, last)| {
+            // What discovery said before a start, and who the peers are, is news and no setting.
+            if matches!(key.as_str(), "known" | "peers") {
+                return None;
+            }
+            let Some(now) = now.get(key) else { return Some(key.clone()) };
+            missing(last, now).map(|below| format!("{key}.{below}"))
+        }),
+        (Value::Object(_), _) => Some("an object that stood here".into()),
+        (Value::Array(last), Value::Array(now)) => {
+            let all = |key: &String| last.iter().all(|entry| entry.get(key).is_some());
+            let keys = last.first().and_then(Value::as_object).into_iter().flat_map(|entry| entry.keys());
+            let keys: Vec<_> = keys.filter(|key| all(key)).collect();
+            now.iter()
+                .find_map(|entry| keys.iter().find(|key| entry.get(key).is_none()).map(|key| key.to_string()))
+        }
+        _ => None,
+    }
+}
--- a/crates/stonevane-node/src/driver.rs
+++ b/crates/stonevane-node/src/driver.rs
@@ -11,7 +11,7 @@
 use foldhash::{HashMap, HashMapExt};
 use rustix::net::RecvFlags;
 use spardeal::Micros;
-use spardeal::settings::Deployment;
+use stonevane_core::management::{Answer, Call};
 use stonevane_core::{ConnId, Core, Input, Note, Output, Outputs};
 use tokio::io::Interest;
 use tokio::net::{TcpListener, TcpStream};
@@ -21,6 +21,7 @@
 
 use crate::clock::{Clock, log};
 use crate::discovery::Discovery;
+use crate::kept::Kept;
 use crate::store::Record;
 
 /// After an error that ends a connection, its client's input is read on for so long, and so much of it.
@@ -59,7 +60,7 @@
 pub struct Driver {
     state: Mutex<State>,
     clock: Clock,
-    deployment: Deployment,
+    kept: Kept,
     /// The store in the origin's place.
     store: Option<Arc<Record>>,
     /// Version of the list held.
@@ -108,7 +109,7 @@
 
 impl Driver {
     /// A driver of a core that has done nothing yet.
-    pub fn new(core: Core, clock: Clock, deployment: Deployment, store: Option<Arc<Record>>) -> Arc<Driver> {
+    pub fn new(core: Core, clock: Clock, kept: Kept, store: Option<Arc<Record>>) -> Arc<Driver> {
         let index = Arc::new(AtomicU64::new(core.index().unwrap_or(0)));
         let state = State {
             core,
@@ -121,7 +122,7 @@
         let driver = Arc::new(Driver {
             state: Mutex::new(state),
             clock,
-            deployment,
+            kept,
             store,
             index: index.clone(),
             armed: AtomicU64::new(Micros::MAX),
@@ -173,6 +174,32 @@
         self.perform(&mut state);
     }
 
+    /// A call on the second address. What must outlive this process is kept before it is answered.
+    pub fn called(self: &Arc<Self>, call: Call) -> Answer {
+        let mut state = self.lock();
+        match call {
+            Call::Ready if state.core.ready() => Answer::line(200, "ready"),
+            Call::Ready => Answer::line(503, "this process takes no clients"),
+            Call::Metrics => match serde_json::to_string(&state.core.report()) {
+                Ok(report) => Answer::object(report),
+                Err(e) => Answer::line(503, e.to_string()),
+            },
+            Call::Exclude { name, .. } if !state.core.knows(&name) => {
+                Answer::line(404, "there is no cache server of that name")
+            }
+            Call::Exclude { name, out } => {
+                if let Err(e) = self.kept.exclude(&name, out) {
+                    return Answer::line(503, format!("it can't be kept, and is not done: {e}"));
+                }
+                let done = if out { "out" } else { "back" };
+                log(&format!("cache server {name} is {done} by hand"));
+                self.tell(&mut state, Input::Exclude(name, out));
+                self.perform(&mut state);
+                Answer::line(200, done)
+            }
+        }
+    }
+
     fn tell(&self, state: &mut State, input: Input<'_>) {
         state.core.handle(self.clock.now(), input, &mut state.outputs);
     }
@@ -197,7 +224,7 @@
                     let Some(store) = self.store.clone() else { continue };
                     let own = self.clone();
                     let call = async move {
-                        let reply = store.call(*job, &own.deployment).await;
+                        let reply = store.call(*job).await;
                         own.input(Input::Replied(id, reply));
                     };
                     let task = tokio::spawn(call).abort_handle();
--- a/crates/stonevane-node/src/lib.rs
+++ b/crates/stonevane-node/src/lib.rs
@@ -6,6 +6,8 @@
 mod copies;
 mod discovery;
 mod driver;
+mod kept;
+mod management;
 mod store;
 
 use std::path::{Path, PathBuf};
@@ -21,18 +23,31 @@
 use clock::{Clock, log};
 use config::Config;
 use driver::Driver;
+use kept::Kept;
 use store::Record;
 
 async fn run(config: Config, store: Option<Arc<Record>>) -> std::io::Result<()> {
+    let kept = Kept::new(std::env::var_os("TMPDIR").filter(|dir| !dir.is_empty()).map(PathBuf::from));
     let clock = Clock::start();
     let mut terms = [signal(SignalKind::terminate())?, signal(SignalKind::interrupt())?];
     let mut hangup = signal(SignalKind::hangup())?;
     let listener = TcpListener::bind(config.listen).await?;
     log(&format!("listening on {}", listener.local_addr()?));
+    let management = match config.mgmt {
+        Some(address) => {
+            let listener = TcpListener::bind(address).await;
+            let listener =
+                listener.map_err(|e| std::io::Error::new(e.kind(), format!("mgmt {address}: {e}")))?;
+            log(&format!("the second address is {}", listener.local_addr()?));
+            Some(listener)
+        }
+        None => None,
+    };
+    let excluded = if management.is_some() { kept.excluded() } else { Vec::new() };
     let mut deployment = config.deployment.clone();
     deployment.settings.shares_fetches = store.as_ref().is_some_and(|store| store.shares());
     let setup = Setup {
-        deployment: deployment.clone(),
+        deployment,
         seed: config.seed,
         sockets: config.sockets,
         memory_mb: config.memory_mb,
@@ -42,8 +57,13 @@
         servers: config.operator.servers,
         store: store.is_some(),
         copies: store.as_ref().is_some_and(|store| store.copies()),
+        others: management.as_ref().map_or(0, |_| management::SOCKETS),
+        excluded,
     };
-    let driver = Driver::new(Core::new(clock.now(), setup), clock, deployment, store.clone());
+    let driver = Driver::new(Core::new(clock.now(), setup), clock, kept, store.clone());
+    if let Some(listener) = management {
+        tokio::spawn(management::serve(listener, driver.clone()));
+    }
     let signals = driver.clone();
     tokio::spawn(async move {
         let [term, int] = &mut terms;
@@ -51,19 +71,22 @@
         signals.input(Input::Terminate);
     });
     let reloads = driver.clone();
+    let mut last = config.text;
     tokio::spawn(async move {
         // Against an end by SIGHUP, and against a file that can't be used: the old configuration stays.
         while hangup.recv().await.is_some() {
-            match Config::again() {
+            match Config::again(&last) {
                 Ok(again) => {
-                    // Discovery moves; what the module was built with stays until a restart.
-                    if again.deployment != config.deployment {
-                        log("reload: changed settings take effect at the next start");
-                    }
+                    last = again.text;
+                    let classes = again.deployment.classes.join(", ");
+                    log(&format!("reload: discovery is at {}, classes are {classes}", again.discovery));
+                    reloads.input(Input::Settings(Box::new(again.deployment)));
                     reloads.input(Input::Move(again.discovery));
-                    log(&format!("reload: discovery is at {}", again.discovery));
                 }
-                Err(e) => log(&format!("reload: {e}; the old configuration stays in force")),
+                Err(e) => {
+                    log(&format!("reload: {e}; the old configuration stays in force"));
+                    reloads.input(Input::Unusable);
+                }
             }
         }
     });
--- a/crates/stonevane-node/src/store.rs
+++ b/crates/stonevane-node/src/store.rs
@@ -10,7 +10,6 @@
 
 use bytes::Bytes;
 use oorandom::Rand64;
-use spardeal::settings::Deployment;
 use spardeal::{Effect, Micros, Status};
 use stonevane_config::operator;
 use stonevane_core::{Job, Reply};
@@ -214,9 +213,9 @@
 
 impl Record {
     /// Carries a fetch or an edit out. Dropped, it is given up.
-    pub async fn call(&self, job: Job, deployment: &Deployment) -> Reply {
+    pub async fn call(&self, job: Job) -> Reply {
         let (status, value) = match job.command.write {
-            true => edit(&self.0, deployment, job).await,
+            true => edit(&self.0, job).await,
             false => fetch(&self.0, job).await,
         };
         Reply { value, ..Reply::bare(status, true) }
@@ -491,10 +490,9 @@
     }
 }
 
-async fn edit(inner: &Arc<Inner>, deployment: &Deployment, job: Job) -> (Status, Option<Bytes>) {
-    let class = deployment.settings.classes.get(job.command.class);
-    let window = match class.map(|class| &class.effect) {
-        Some(Effect::Keyed { window, .. }) => window / 1_000,
+async fn edit(inner: &Arc<Inner>, job: Job) -> (Status, Option<Bytes>) {
+    let window = match job.command.rules.effect {
+        Effect::Keyed { window, .. } => window / 1_000,
         _ => 0,
     };
     let token = job.command.facts.split(',').find_map(|fact| fact.strip_prefix("k=")).map(str::to_owned);
--- a/crates/stonevane-node/tests/node/main.rs
+++ b/crates/stonevane-node/tests/node/main.rs
@@ -1,6 +1,7 @@
 //! The real node over loopback sockets: one test for each failure that must not happen.
 #![allow(missing_docs)]
 
+mod service;
 mod stand_in;
 
 use std::io::Write;
@@ -14,17 +15,17 @@
 use stand_in::*;
 
 /// A whole list of one cache server and an origin.
-fn pair(cache: SocketAddr, origin: SocketAddr) -> String {
+pub fn pair(cache: SocketAddr, origin: SocketAddr) -> String {
     let entries = [entry("s-1", cache, "std", "active"), entry("o-1", origin, "origin", "active")];
     listing(5, true, &entries)
 }
 
 /// Discovery that tells of nothing new.
-fn quiet() -> (SocketAddr, std::sync::mpsc::Sender<Vec<u8>>, std::sync::mpsc::Receiver<String>) {
+pub fn quiet() -> (SocketAddr, std::sync::mpsc::Sender<Vec<u8>>, std::sync::mpsc::Receiver<String>) {
     discovery(vec![watch_head()])
 }
 
-fn no_origin() -> StandIn {
+pub fn no_origin() -> StandIn {
     origin(|_| Act::Say(http(500, "", "")))
 }
 
--- /dev/null
+++ b/crates/stonevane-node/tests/node/service.rs
@@ -0,0 +1,211 @@
+//! Daily service: the second address, its figures, servers out by hand, new settings.
+
+use std::io::{Read, Write};
+use std::net::TcpStream;
+use std::sync::mpsc::channel;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use crate::stand_in::*;
+use crate::{no_origin, pair, quiet};
+
+/// Two caches and an origin.
+fn trio(caches: [&StandIn; 2], origin: &StandIn) -> String {
+    let entries = [
+        entry("s-1", caches[0].address, "std", "active"),
+        entry("s-2", caches[1].address, "std", "active"),
+        entry("o-1", origin.address, "origin", "active"),
+    ];
+    listing(5, true, &entries)
+}
+
+#[test]
+fn the_second_address_answers_beside_callers_that_hold_all_its_places() {
+    let cache = cache(|words| Act::Say(hit(&words[1])));
+    let (origin, (discovery, _say, _calls)) = (no_origin(), quiet());
+    let node = Node::start_managed(discovery, &pair(cache.address, origin.address), &folder());
+    assert_eq!(node.call("GET", "/ready").0, 200);
+    let mgmt = node.mgmt.unwrap();
+    let mut held: Vec<_> = (0..40).map(|_| TcpStream::connect(mgmt).unwrap()).collect();
+    held.iter_mut().step_by(2).for_each(|stream| drop(stream.write_all(b"GET /rea")));
+    let began = Instant::now();
+    for _ in 0..20 {
+        assert_eq!(node.call("GET", "/ready").0, 200);
+    }
+    assert!(began.elapsed() < Duration::from_secs(1), "{:?} for 20 calls", began.elapsed());
+    // A call in pieces, cut anywhere, is one call.
+    let mut stream = TcpStream::connect(mgmt).unwrap();
+    stream.set_nodelay(true).unwrap();
+    for byte in b"PUT /cache-servers/disable/nobody HTTP/1.1\r\n\r\n" {
+        stream.write_all(&[*byte]).unwrap();
+    }
+    let mut text = String::new();
+    stream.read_to_string(&mut text).unwrap();
+    assert!(text.starts_with("HTTP/1.1 404 "), "{text}");
+    assert_eq!(node.call("POST", "/ready").0, 405);
+    assert_eq!(node.call("GET", "/nothing").0, 404);
+    assert_eq!(node.call_with(b"\x00\x01\r\n\r\n").0, 400);
+    assert_eq!(node.call("GET", &"/x".repeat(4000)).0, 414);
+    let pipelined = b"GET /ready HTTP/1.1\r\n\r\nPUT /cache-servers/disable/s-1 HTTP/1.1\r\n\r\n";
+    assert_eq!(node.call_with(pipelined).0, 200);
+    assert_eq!(node.figure("cache_servers_excluded"), 0, "one call to a connection");
+}
+
+#[test]
+fn the_figures_tell_what_clients_were_told_and_what_servers_were_sent() {
+    let (go, wait) = channel();
+    let wait = Arc::new(Mutex::new(Some(wait)));
+    let cache = cache(move |words| match words[1].as_str() {
+        "ee" => Act::SayAfter(wait.lock().unwrap().take().unwrap(), hit("slow")),
+        "bb" => Act::Say(miss()),
+        key => Act::Say(hit(key)),
+    });
+    let origin =
+        origin(|words| Act::Say(http(if words[0].starts_with("PUT") { 500 } else { 200 }, "", "made")));
+    let (discovery, _say, _calls) = quiet();
+    let mut node = Node::start_managed(discovery, &pair(cache.address, origin.address), &folder());
+    assert_eq!(
+        (node.figure("served.read"), node.figure("failed.put")),
+        (0, 0),
+        "classes never used stand there"
+    );
+    let mut client = node.client();
+    assert_eq!(client.ask(&get("aa", "1")).unwrap(), "aa");
+    assert_eq!(client.ask(&get("bb", "2")).unwrap(), "made");
+    assert!(client.ask(&put("cc", "3", "new")).unwrap().starts_with("-ERR"));
+    client.send(&get("ee", "4"));
+    assert_eq!(cache.next().words[1], "aa");
+    while cache.next().words[1] != "ee" {}
+    node.until("in_flight", 1);
+    go.send(()).unwrap();
+    assert_eq!(client.answer().unwrap(), "slow");
+    node.until("in_flight", 0);
+    let told = ["served.read", "refused.read", "failed.read", "served.put", "refused.put", "failed.put"];
+    assert_eq!(told.map(|name| node.figure(name)), [3, 0, 0, 0, 0, 1]);
+    assert_eq!(node.figure("attempts"), 5, "three at the cache, a fetch and a write at the origin");
+    assert_eq!(node.figure("cache_servers_known"), 1);
+    // Once it drains it takes no clients, and says so.
+    let mut held = node.client();
+    held.send(b"*4\r\n");
+    node.terminate();
+    let end = Instant::now() + LONG;
+    while node.call("GET", "/ready").0 != 503 {
+        assert!(Instant::now() < end);
+    }
+    drop((client, held));
+    assert_eq!(node.wait().code(), Some(0));
+}
+
+#[test]
+fn a_cache_server_that_is_out_gets_nothing_whatever_lists_say_until_it_is_put_back() {
+    let caches = [cache(|_| Act::Say(hit("one"))), cache(|_| Act::Say(hit("two")))];
+    let (origin, (discovery, say, _calls)) = (no_origin(), quiet());
+    let (known, kept) = (trio([&caches[0], &caches[1]], &origin), folder());
+    let node = Node::start_managed(discovery, &known, &kept);
+    let served = |node: &Node, from: u32| {
+        let mut client = node.client();
+        let mut all: Vec<_> =
+            (from..from + 40).map(|i| client.ask(&get(&format!("k{i}"), &format!("{i}"))).unwrap()).collect();
+        all.sort();
+        all.dedup();
+        all
+    };
+    assert_eq!(served(&node, 0), ["one", "two"]);
+    assert_eq!(node.call("PUT", "/cache-servers/disable/nobody").0, 404);
+    assert_eq!(node.call("PUT", "/cache-servers/disable/o-1").0, 404, "the origin is no cache server");
+    assert_eq!(node.call("PUT", "/cache-servers/disable/s-1").0, 200);
+    assert_eq!(node.call("PUT", "/cache-servers/disable/s-1").0, 200);
+    assert_eq!(served(&node, 100), ["two"]);
+    assert_eq!(node.figure("cache_servers_excluded"), 1);
+    // It leaves the list, where it can be put back all the same, and comes again.
+    let left = [entry("s-1", caches[0].address, "std", "left")];
+    say.send(chunk(&listing(6, false, &left))).unwrap();
+    node.until("cache_servers_known", 1);
+    assert_eq!(node.call("PUT", "/cache-servers/disable/s-1").0, 200);
+    let active = [entry("s-1", caches[0].address, "std", "active")];
+    say.send(chunk(&listing(7, false, &active))).unwrap();
+    node.until("cache_servers_known", 2);
+    assert_eq!(served(&node, 200), ["two"]);
+    // Nor does new settings' coming, or another process of the node, bring it back.
+    node.reload(Err(&node.text));
+    node.until("reloads_ok", 1);
+    assert_eq!(served(&node, 300), ["two"]);
+    drop(node);
+    let node = Node::start_managed(discovery, &known, &kept);
+    assert_eq!(served(&node, 400), ["two"]);
+    assert_eq!(node.call("PUT", "/cache-servers/enable/s-1").0, 200);
+    assert_eq!(served(&node, 500), ["one", "two"], "one call back undoes both");
+    assert_eq!(node.figure("cache_servers_excluded"), 0);
+    drop(node);
+    let node = Node::start_managed(discovery, &known, &kept);
+    assert_eq!(served(&node, 600), ["one", "two"]);
+    // All out: nobody is kept waiting.
+    for name in ["s-1", "s-2"] {
+        assert_eq!(node.call("PUT", &format!("/cache-servers/disable/{name}")).0, 200);
+    }
+    assert!(node.client().ask(&get("k1", "1")).unwrap().starts_with("-BUSY"));
+}
+
+#[test]
+fn new_settings_are_taken_whole_or_not_at_all() {
+    let cache = cache(|words| Act::Say(hit(&words[1])));
+    let (origin, (discovery, _say, _calls)) = (no_origin(), quiet());
+    let node = Node::start_managed(discovery, &pair(cache.address, origin.address), &folder());
+    let ask = |class: &str| {
+        let facts = format!("c={class},t=acme,d=8000");
+        node.client().ask(&command(&["OBJ.GET", "aa", "1", &facts])).unwrap()
+    };
+    let text = node.text.clone();
+    let broken = [
+        String::new(),
+        text[..text.len() / 2].into(),
+        text.replace(r#""deadlineUs":8000000"#, r#""deadlineUs":0"#),
+        text.replace(r#""deadlineUs":8000000"#, r#""deadlineUs":-5"#),
+        text.replace(r#""deadlineUs":8000000"#, r#""deadlineUs":"soon""#),
+        text.replacen(r#""deadlineUs":8000000,"#, "", 1),
+        text.replace(r#""maxAttempts":4"#, r#""maxAttempts":0"#),
+        text.replace(r#""maxAttempts":4"#, r#""maxAttempts":-1"#),
+        text.replace(r#""maxAttempts":4,"#, ""),
+        text.replace(r#""name":"put","#, r#""name":"read","#),
+        text.replace(r#""guarantees""#, r#""other""#),
+    ];
+    for (number, broken) in broken.iter().enumerate() {
+        node.reload(Err(&broken.replace(r#""name":"put""#, r#""name":"new""#)));
+        node.until("reloads_failed", number as u64 + 1);
+        assert!(ask("new").starts_with("-ERR"), "nothing is taken of {broken}");
+        assert_eq!(ask("read"), "aa");
+    }
+    node.reload(Err(&text.replace(r#""name":"put""#, r#""name":"new""#)));
+    node.until("reloads_ok", 1);
+    assert_eq!((ask("new").as_str(), ask("read").as_str()), ("aa", "aa"));
+    assert_eq!(node.figure("served.new"), 1);
+    // A dropped class is known for as long as clients may still name it, and then no more; its count stays.
+    assert!(!ask("put").starts_with("-ERR unknown"));
+    let end = Instant::now() + LONG;
+    while !ask("put").starts_with("-ERR unknown") {
+        assert!(Instant::now() < end, "a dropped class is still taken");
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    assert!(node.figure("served.put") > 0);
+    node.reload(Err(&text));
+    node.until("reloads_ok", 2);
+    assert_eq!(ask("put"), "aa");
+}
+
+#[test]
+fn a_second_address_that_is_none_or_is_taken_is_one_line_and_exit_code_2() {
+    let taken = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    for mgmt in ["nowhere".to_owned(), taken.local_addr().unwrap().to_string()] {
+        let (discovery, _say, _calls) = quiet();
+        let path = config_file(&config(discovery, &listing(1, true, &[]), 256, settings()));
+        let run = std::process::Command::new(env!("CARGO_BIN_EXE_spardeal-node"))
+            .env("ROUTER_CONFIG", &path)
+            .env("ROUTER_MGMT", &mgmt)
+            .output()
+            .unwrap();
+        assert_eq!(run.status.code(), Some(2), "{mgmt}");
+        let lines = String::from_utf8_lossy(&run.stderr).into_owned();
+        assert!(lines.lines().last().unwrap().contains(&mgmt), "{lines}");
+        std::fs::remove_file(path).unwrap();
+    }
+}
--- a/crates/stonevane-node/tests/node/stand_in.rs
+++ b/crates/stonevane-node/tests/node/stand_in.rs
@@ -2,6 +2,7 @@
 
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::mpsc::{Receiver, Sender, channel};
@@ -227,16 +228,32 @@
 pub struct Node {
     child: Child,
     pub address: SocketAddr,
+    pub mgmt: Option<SocketAddr>,
     pub log: Receiver<String>,
-    path: std::path::PathBuf,
-    text: String,
+    path: PathBuf,
+    pub text: String,
     discovery: SocketAddr,
 }
 
+/// A configuration.
+pub fn config(discovery: SocketAddr, known: &str, sockets: usize, settings: &str) -> String {
+    format!(
+        r#"{{"name":"n0","listen":"127.0.0.1:0","discovery":"{discovery}","seed":"0a","limits":{{"sockets":{sockets},"memory_mb":16}},"known":{known},"settings":{settings}}}"#
+    )
+}
+
+/// An empty folder of its own.
+pub fn folder() -> PathBuf {
+    let number = FILES.fetch_add(1, Ordering::Relaxed);
+    let path = std::env::temp_dir().join(format!("spardeal-node-test-{}-{number}", std::process::id()));
+    std::fs::create_dir_all(&path).unwrap();
+    path
+}
+
 static FILES: AtomicU32 = AtomicU32::new(0);
 
 /// Writes a file of its own for each node.
-pub fn config_file(text: &str) -> std::path::PathBuf {
+pub fn config_file(text: &str) -> PathBuf {
     let number = FILES.fetch_add(1, Ordering::Relaxed);
     let name = format!("spardeal-node-test-{}-{number}.json", std::process::id());
     let path = std::env::temp_dir().join(name);
@@ -276,26 +293,85 @@
         before: &str,
         settings: &str,
     ) -> Node {
-        let text = format!(
-            r#"{{"name":"n0","listen":"127.0.0.1:0","discovery":"{discovery}","seed":"0a","limits":{{"sockets":{sockets},"memory_mb":16}},"known":{known},"settings":{}}}"#,
-            settings
-        );
-        let path = config_file(&text);
-        let mut child = Command::new("/bin/sh")
+        Node::launch(&config(discovery, known, sockets, settings), discovery, before, |_| {})
+    }
+
+    /// Starts a node with a second address, and a folder that may outlive it.
+    pub fn start_managed(discovery: SocketAddr, known: &str, folder: &Path) -> Node {
+        Node::start_managed_with(discovery, known, folder, "", |_| {})
+    }
+
+    /// The same behind a shell command, and with other changes.
+    pub fn start_managed_with(
+        discovery: SocketAddr,
+        known: &str,
+        folder: &Path,
+        before: &str,
+        change: impl FnOnce(&mut Command),
+    ) -> Node {
+        let text = config(discovery, known, 256, settings());
+        let text = text.replacen("{", r#"{"mgmt":"127.0.0.1:0","#, 1);
+        Node::launch(&text, discovery, before, |command| {
+            command.env("TMPDIR", folder);
+            change(command);
+        })
+    }
+
+    fn launch(text: &str, discovery: SocketAddr, before: &str, change: impl FnOnce(&mut Command)) -> Node {
+        let path = config_file(text);
+        let mut command = Command::new("/bin/sh");
+        command
             .arg("-c")
             .arg(format!("{before} exec \"{}\" \"$@\"", env!("CARGO_BIN_EXE_spardeal-node")))
             .env("ROUTER_CONFIG", &path)
             .env_remove("ROUTER_LISTEN")
             .env("ROUTER_DISCOVERY", discovery.to_string())
-            .stderr(Stdio::piped())
-            .spawn()
-            .unwrap();
+            .stderr(Stdio::piped());
+        change(&mut command);
+        let mut child = command.spawn().unwrap();
         let mut lines = BufReader::new(child.stderr.take().unwrap()).lines().map_while(Result::ok);
-        let first = lines.next().expect("a first line in the log");
-        let address = first.rsplit(' ').next().and_then(|a| a.parse().ok()).expect("an address in the log");
+        let mut place = |what: &str| {
+            let line = lines.next().unwrap_or_else(|| panic!("no line that tells {what}"));
+            line.rsplit(' ').next().and_then(|a| a.parse().ok()).unwrap_or_else(|| panic!("{line}"))
+        };
+        let address = place("where it listens");
+        let mgmt = text.contains("\"mgmt\"").then(|| place("the second address"));
         let (tell, log) = channel();
         std::thread::spawn(move || lines.for_each(|line| drop(tell.send(line))));
-        Node { child, address, log, path, text, discovery }
+        Node { child, address, mgmt, log, path, text: text.into(), discovery }
+    }
+
+    /// A call on the second address: its status and body.
+    pub fn call(&self, method: &str, path: &str) -> (u16, String) {
+        self.call_with(format!("{method} {path} HTTP/1.1\r\nHost: n0\r\n\r\n").as_bytes())
+    }
+
+    pub fn call_with(&self, bytes: &[u8]) -> (u16, String) {
+        let mut stream = TcpStream::connect(self.mgmt.expect("a second address")).unwrap();
+        stream.set_read_timeout(Some(LONG)).unwrap();
+        stream.write_all(bytes).unwrap();
+        let mut text = String::new();
+        stream.read_to_string(&mut text).unwrap();
+        let status = text.split(' ').nth(1).and_then(|status| status.parse().ok()).unwrap_or(0);
+        (status, text.split_once("\r\n\r\n").map_or(String::new(), |(_, body)| body.into()))
+    }
+
+    /// One of the figures, or one of a class: `served.read`.
+    pub fn figure(&self, name: &str) -> u64 {
+        let (status, body) = self.call("GET", "/metrics");
+        assert_eq!(status, 200, "{body}");
+        let value: serde_json::Value = serde_json::from_str(&body).unwrap();
+        let found = name.split('.').try_fold(&value, |value, part| value.get(part));
+        found.and_then(serde_json::Value::as_u64).unwrap_or_else(|| panic!("no {name} in {body}"))
+    }
+
+    /// Waits until a figure has a value.
+    pub fn until(&self, name: &str, is: u64) {
+        let end = std::time::Instant::now() + LONG;
+        while self.figure(name) != is {
+            assert!(std::time::Instant::now() < end, "{name} is {}, not {is}", self.figure(name));
+            std::thread::sleep(Duration::from_millis(5));
+        }
     }
 
     /// Replaces the configuration by one that names another discovery, or by any text, and sends SIGHUP.
--- a/crates/stonevane-sim/src/world.rs
+++ b/crates/stonevane-sim/src/world.rs
@@ -497,6 +497,8 @@
             servers: operator::Servers::default(),
             store: false,
             copies: false,
+            others: 0,
+            excluded: Vec::new(),
         };
         self.state(node, "starting");
         let now = self.clock(node);
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -65,30 +65,17 @@
 /// call of each in about that time, and works calls off in turn, those too that have waited for too long. Two
 /// come soon, since what it has to tell counts as told before long.
 const ASK_AGAIN: [(f64, f64); 3] = [(0.03, 0.5), (0.2, 0.4), (0.5, 1.0)];
+/// A server put back by hand that none of its keys has come by for so long gets the next read.
+const BACK: Micros = 1_000_000;
 /// A key is hot that was asked for before among so many requests here: a part of all, whatever N is.
 const HOT: usize = 64;
 
 impl Policy {
     /// A balancer that knows its settings and nothing else yet.
     pub fn new(settings: Settings, seed: u64) -> Self {
-        let aims = settings.classes.iter().map(|c| c.aim);
-        let quotas: f64 = settings.tenants.iter().map(|t| t.quota_per_s).sum();
-        let quota_share = quotas / f64::from(settings.balancers.max(1));
-        let mut policy = Policy {
-            aim: aims.clone().max().unwrap_or(1_000_000).max(1),
-            origin_aim: aims.min().unwrap_or(1_000_000),
-            senders: vec![Bucket::default(); settings.tenants.len().max(1)],
-            rng: Random::new(seed),
-            level: LEVEL.1,
-            // Held by all balancers, a connection costs more than it saves: whatever the traffic, the price
-            // of keeping one open grows with their number and the price of opening it again does not.
-            crowded: f64::from(settings.balancers) * settings.connection_price
-                > 100.0 * settings.handshake_price,
-            repeats: REPEATS.1,
-            quota_share,
-            settings,
-            ..Policy::default()
-        };
+        let mut policy =
+            Policy { rng: Random::new(seed), level: LEVEL.1, repeats: REPEATS.1, ..Policy::default() };
+        policy.adopt(settings, &[]);
         // Calls of an earlier life of this balancer may still run: the gate opens gradually.
         policy.gate.limit = policy.gate_out() / 2.0;
         policy.wake(0, Wake::Subscribe);
@@ -96,6 +83,31 @@
         policy
     }
 
+    /// Takes settings in force. `from`: where each tenant stood in those before. Buckets and what requests
+    /// have paid go over with their tenants; all else that was learned stays.
+    fn adopt(&mut self, settings: Settings, from: &[Option<usize>]) {
+        let aims = settings.classes.iter().map(|c| c.aim);
+        self.aim = aims.clone().max().unwrap_or(1_000_000).max(1);
+        self.origin_aim = aims.min().unwrap_or(1_000_000);
+        let quotas: f64 = settings.tenants.iter().map(|t| t.quota_per_s).sum();
+        self.quota_share = quotas / f64::from(settings.balancers.max(1));
+        let before = std::mem::take(&mut self.senders);
+        let bucket = |i| from.get(i).copied().flatten().and_then(|was: usize| before.get(was)).cloned();
+        self.senders = (0..settings.tenants.len().max(1)).map(|i| bucket(i).unwrap_or_default()).collect();
+        for h in self.held.values_mut() {
+            h.charged = h.charged.and_then(|was| from.iter().position(|told| *told == Some(was)));
+        }
+        // Held by all balancers, a connection costs more than it saves: whatever the traffic, the price
+        // of keeping one open grows with their number and the price of opening it again does not.
+        self.crowded =
+            f64::from(settings.balancers) * settings.connection_price > 100.0 * settings.handshake_price;
+        self.settings = settings;
+        for s in self.servers.values_mut() {
+            s.origin = self.settings.origin_kind == Some(s.line.kind);
+        }
+        self.weigh();
+    }
+
     /// Takes one event at a clock value and adds the actions that it calls for.
     pub fn handle(&mut self, now: Micros, event: Event, out: &mut Vec<Action>) {
         self.now = now;
@@ -110,6 +122,8 @@
             }
             Event::Timer(_) => self.wakes.timer_came(now + self.settings.tick),
             Event::OriginShut { lasts } => self.origin_shut(lasts, out),
+            Event::Settings { settings, tenants } => self.adopt(*settings, &tenants),
+            Event::Exclude { server, out: excluded } => self.exclude(server, excluded, out),
             Event::PeerMessage { .. } | Event::Probed { .. } => {}
         }
         while let Some(wake) = self.wakes.due(now, out, |wake| match wake {
@@ -139,13 +153,14 @@
         // Ends some ticks before its time is up, so that the answer is in time when a call comes late.
         let margin = 2 * self.settings.tick;
         let mut held = Held {
-            class: r.class,
+            class: self.settings.classes.get(r.class).copied().unwrap_or_default(),
+            most: self.settings.max_attempts,
             key: r.key,
             write: r.write,
-            aim_at: (self.now + self.settings.classes[r.class].aim).saturating_sub(margin),
             ends: self.now + r.time_left.saturating_sub(margin),
             ..Held::default()
         };
+        held.aim_at = (self.now + held.class.aim).saturating_sub(margin);
         self.repeats = (self.repeats + REPEATS.0).min(REPEATS.1);
         self.recent.push_front(r.key);
         self.recent.truncate(HOT);
@@ -185,7 +200,7 @@
     /// Chooses and makes the next call of a request that has none out.
     fn step(&mut self, id: RequestId, out: &mut Vec<Action>) {
         let Some(h) = self.held.get(&id) else { return };
-        if self.now >= self.useful_until(h) || u32::from(h.sent) >= self.settings.max_attempts {
+        if self.now >= self.useful_until(h) || u32::from(h.sent) >= self.most(h) {
             return self.end(id, out);
         }
         if h.write || h.missed {
@@ -196,8 +211,13 @@
         }
     }
 
+    /// How many attempts a request may make: no more than when it came, nor than now.
+    fn most(&self, h: &Held) -> u32 {
+        h.most.min(self.settings.max_attempts)
+    }
+
     fn useful_until(&self, h: &Held) -> Micros {
-        if self.settings.classes[h.class].late_worth > 0.0 { h.ends } else { h.aim_at.min(h.ends) }
+        if h.class.late_worth > 0.0 { h.ends } else { h.aim_at.min(h.ends) }
     }
 
     // The key's order.
@@ -211,14 +231,18 @@
         let bound = multiple * f64::from(self.cache_out + 1) / self.total;
         let floor = BOUND.2 / f64::from(self.settings.balancers.max(2)); // All of it from one is a crowd.
         let mut best = None;
-        for s in self.ready(false).filter(|s| !h.tried.contains(&s.line.id) && self.warm_enough(key, s)) {
+        // Against a server put back that no key of its own comes by for long: nothing could be learned of it.
+        let due = |s: &Server| s.back != 0 && self.now >= s.back + BACK;
+        let may = |s: &&Server| !h.tried.contains(&s.line.id) && self.warm_enough(key, s, due(s));
+        for s in self.ready(false).filter(may) {
             // Last, not left out: when most look bad the cause is shared, and there is no better place.
             let aside = s.aside.0 != 0 && (self.now < s.aside.0 || s.in_flight > 0);
             // Against servers whose weights hide how slow they are: the floor is one in time, and so fewer in
             // flight at a slow one and, up to twice as many, more at a quick one.
             let floor = if s.takes > 0.0 { floor * (self.pace / s.takes).min(2.0) } else { floor };
             let over = f64::from(s.in_flight) >= (bound * self.weight(s)).max(floor);
-            let place = (aside, over || self.queue(id, s) > left * FULL, self.place(key, s), s.line.id);
+            let full = over || self.queue(id, s) > left * FULL;
+            let place = (aside, full, !due(s), self.place(key, s), s.line.id);
             if best.is_none_or(|b| place < b) {
                 best = Some(place);
             }
@@ -243,7 +267,7 @@
     }
 
     fn ready(&self, origin: bool) -> impl Iterator<Item = &Server> {
-        self.servers.values().filter(move |s| s.line.condition == Condition::Ready && s.origin == origin)
+        self.servers.values().filter(move |s| s.open() && s.origin == origin)
     }
 
     fn weight(&self, s: &Server) -> f64 {
@@ -267,12 +291,13 @@
 
     /// Against pushing a cold server over: it gets a part of its keys that grows as it warms, the same
     /// keys from every balancer, and from each no more than a part of a warm server's requests.
-    fn warm_enough(&self, key: Key, s: &Server) -> bool {
+    fn warm_enough(&self, key: Key, s: &Server, any: bool) -> bool {
         let warmth = self.warmth(s);
         let room = |(level, depth)| level < depth;
         // A hot key would come from all balancers at once, from each within its bucket.
         let hot = || self.recent.iter().filter(|recent| **recent == key).count() > 1;
-        warmth >= 1.0 || (unit_hash(key, s.line.id, 1) < warmth && room(self.cold_bucket(s)) && !hot())
+        let draws = any || unit_hash(key, s.line.id, 1) < warmth;
+        warmth >= 1.0 || (draws && room(self.cold_bucket(s)) && !hot())
     }
 
     /// Level and depth of the bucket of attempts at a server, as cold as it is.
@@ -359,8 +384,8 @@
     }
 
     /// The random delay of a blocked call.
-    fn delay(&mut self, class: usize) -> Micros {
-        let aim = self.settings.classes[class].aim as f64;
+    fn delay(&mut self, class: Class) -> Micros {
+        let aim = class.aim as f64;
         // However short an aim is, waiting is no busy loop.
         ((aim * (DELAY.0 + (DELAY.1 - DELAY.0) * self.rng.unit())) as Micros).max(1_000)
     }
@@ -371,21 +396,21 @@
     fn send(&mut self, id: RequestId, server: ServerId, call: Call, out: &mut Vec<Action>) -> bool {
         let (Some(h), Some(s)) = (self.held.get(&id), self.servers.get(&server)) else { return false };
         let allowed = self.now < h.ends
-            && u32::from(h.sent) < self.settings.max_attempts
-            && s.line.condition == Condition::Ready
+            && u32::from(h.sent) < self.most(h)
+            && s.open()
             && (h.out == 0 || self.settings.may_duplicate)
             && self.may_repeat(h, server);
         if !allowed {
             return false;
         }
         let cold = (self.cold_bucket(s).0 + 1.0, self.now);
-        let (attempt, sent, aim) = (h.sent, self.now, self.settings.classes[h.class].aim);
+        let (attempt, sent, aim) = (h.sent, self.now, h.class.aim);
         let key = h.key;
         let slow_after = (aim as f64 * PATIENCE) as Micros;
         if let (Some(h), Some(s)) = (self.held.get_mut(&id), self.servers.get_mut(&server)) {
             (h.sent, h.out) = (h.sent + 1, h.out + 1);
             h.may_have_run.push((attempt, sent, server));
-            (s.in_flight, s.cold) = (s.in_flight + 1, cold);
+            (s.in_flight, s.cold, s.back) = (s.in_flight + 1, cold, 0);
         }
         if call == Call::Cache {
             self.cache_out += 1;
@@ -406,7 +431,7 @@
     /// No effect twice: a repeat of what may have run goes only where and while it is dropped.
     fn may_repeat(&self, h: &Held, server: ServerId) -> bool {
         let Some(&(_, sent, first)) = h.may_have_run.first() else { return true };
-        match self.settings.classes[h.class].effect {
+        match h.class.effect {
             Effect::Safe => true,
             Effect::Unsafe => false,
             Effect::Keyed { group, window } => {
@@ -469,7 +494,7 @@
                 Status::Error if self.now - flight.sent < flight.slow_after => QUICK_ERROR,
                 _ => 1.0,
             };
-            let repeatable = match self.settings.classes[class].effect {
+            let repeatable = match class.effect {
                 Effect::Safe => true,
                 // Where and until when its repeats are dropped, the sending looks to.
                 Effect::Keyed { .. } => matches!(o.status, Status::Spoilt | Status::Error | Status::Reset),
@@ -621,11 +646,7 @@
     fn hedge(&mut self, id: RequestId, server: ServerId, out: &mut Vec<Action>) {
         let Some(h) = self.held.get_mut(&id).filter(|h| h.out == 1 && !h.missed) else { return };
         let known = self.servers.get(&server).is_some_and(|s| s.answered_lately(self.now, self.aim) >= PRIOR);
-        if known
-            || self.settings.classes[h.class].effect != Effect::Safe
-            || !self.settings.may_duplicate
-            || self.repeats < 1.0
-        {
+        if known || h.class.effect != Effect::Safe || !self.settings.may_duplicate || self.repeats < 1.0 {
             return;
         }
         h.tried.push(server);
@@ -655,7 +676,7 @@
         let (class, harmless) = (h.class, h.may_have_run.is_empty());
         // A refused client is told to come back after the delay of a blocked call, random as that is: told to
         // wait for longer it comes back too late, and its answer takes another's place.
-        out.push(match self.settings.classes[class].effect == Effect::Safe || harmless {
+        out.push(match class.effect == Effect::Safe || harmless {
             true => {
                 // Nor before an origin that has stopped may be called again.
                 let shut =
@@ -686,6 +707,7 @@
         for line in lines {
             let s = self.servers.entry(line.id).or_default();
             s.origin = self.settings.origin_kind == Some(line.kind);
+            s.excluded = self.excluded.contains(&line.id);
             // A new process starts with a clean record. One presumed cold stays so until the list knows.
             if line.started > s.line.started {
                 (s.strikes, s.aside) = (0, (0, 0));
@@ -696,9 +718,37 @@
         }
         // Gone and owing nothing: forgotten here, as a walk over the fleet at each review cost much CPU.
         self.servers.retain(|_, s| s.line.condition != Condition::Gone || s.in_flight > 0);
+        self.weigh();
+    }
+
+    fn weigh(&mut self) {
         self.total = self.ready(false).map(|s| self.weight(s)).sum::<f64>().max(0.01);
     }
 
+    /// A person takes a server out or puts it back: that holds whatever lists say. Put back, what is known of
+    /// it from before is of another process.
+    fn exclude(&mut self, server: ServerId, excluded: bool, out: &mut Vec<Action>) {
+        let changed = if excluded { self.excluded.insert(server) } else { self.excluded.remove(&server) };
+        if let Some(s) = self.servers.get_mut(&server).filter(|_| changed) {
+            s.excluded = excluded;
+            if excluded {
+                out.push(Action::CloseIdle(server));
+            } else {
+                (s.strikes, s.aside, s.unreachable, s.back) = (0, (0, 0), false, self.now.max(1));
+                // Taken out to be restarted: cold, and the list that tells so may be late.
+                s.line.started = s.line.started.max(self.now);
+            }
+            self.weigh();
+        }
+    }
+
+    /// How many of the cache servers that are listed are avoided now, by people or by choice.
+    pub fn avoided(&self) -> usize {
+        let listed = |s: &&Server| !s.origin && s.line.condition != Condition::Gone;
+        let avoided = |s: &&Server| s.excluded || s.aside.0 != 0;
+        self.servers.values().filter(listed).filter(avoided).count()
+    }
+
     /// Discovery has little capacity: it is asked again later, and not by all at once.
     fn discovery_failed(&mut self, out: &mut Vec<Action>) {
         let (from, to) = ASK_AGAIN[self.asked_again];
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -102,7 +102,7 @@
 }
 
 /// A class of requests.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Class {
     /// An answer within this time earns the full worth.
     pub aim: Micros,
@@ -122,6 +122,25 @@
     }
 }
 
+impl Class {
+    /// This class, held to what another allows as well: an effect is the stricter one, a time the shorter.
+    pub fn stricter(&self, other: &Class) -> Class {
+        let effect = match (self.effect, other.effect) {
+            (Effect::Unsafe, _) | (_, Effect::Unsafe) => Effect::Unsafe,
+            (Effect::Safe, other) | (other, Effect::Safe) => other,
+            (Effect::Keyed { group: a, window: b }, Effect::Keyed { group: c, window: d }) => match a == c {
+                true => Effect::Keyed { group: a, window: b.min(d) },
+                // A cell lies in a zone, and a zone among all.
+                false if a == Group::Cell || c == Group::Cell => {
+                    Effect::Keyed { group: Group::Cell, window: b.min(d) }
+                }
+                false => Effect::Keyed { group: Group::Zone, window: b.min(d) },
+            },
+        };
+        Class { effect, deadline: self.deadline.min(other.deadline), ..*self }
+    }
+}
+
 /// What a repeat of a request does.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum Effect {
@@ -348,6 +367,21 @@
     ClientGone(RequestId),
     /// A timer set by [`Action::Timer`] is due.
     Timer(u32),
+    /// Other settings hold from now on. A request that is open keeps the class that it came with; what was learned of
+    /// servers, and what is out, stays.
+    Settings {
+        /// All of them.
+        settings: Box<Settings>,
+        /// For each tenant of these, its position in the last ones, if it had one.
+        tenants: Vec<Option<usize>>,
+    },
+    /// A person takes a cache server out, or puts it back. Neither counts: twice out and once back is back.
+    Exclude {
+        /// The server, listed or not.
+        server: ServerId,
+        /// Whether it is out from now on.
+        out: bool,
+    },
     /// The origin has stopped answering: no call to it is any use for a time; 0: it answers again.
     OriginShut {
         /// The time from now.
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -221,6 +221,19 @@
         ("drainGraceUs", rules.drain_grace_us),
         ("tipAfterUs", rules.tip_after_us),
     ]);
+    for class in &wire.classes {
+        if class.name.is_empty() || wire.classes.iter().filter(|other| other.name == class.name).count() > 1 {
+            return Err(format!("unreadable settings: a class without a name, or {:?} twice", class.name));
+        }
+        for (name, value) in [("goalTimeUs", class.goal_time_us), ("deadlineUs", class.deadline_us)] {
+            if !(value >= 1.0 && value.is_finite()) {
+                return absurd(name, value, "more than 0");
+            }
+        }
+    }
+    if limits.max_attempts == 0 {
+        return absurd("maxAttempts", 0.0, "1 at the least");
+    }
     for (name, value) in times {
         if value > LONGEST {
             return absurd(name, value, "a day at the most");
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,12 +1,14 @@
 //! What a balancer keeps in memory: plain types, the queue of wake-ups and the hash. No decisions.
 
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap, VecDeque};
 
 use oorandom::Rand64;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use crate::interface::{Action, Group, Key, Micros, RequestId, ServerId, ServerLine, Settings};
+use crate::interface::{
+    Action, Class, Condition, Group, Key, Micros, RequestId, ServerId, ServerLine, Settings,
+};
 
 /// The mind of one balancer: what it was told, what it has seen and what it owes.
 #[derive(Default)]
@@ -18,6 +20,8 @@
     pub(crate) aim: Micros,
     pub(crate) origin_aim: Micros,
     pub(crate) servers: BTreeMap<ServerId, Server>,
+    /// Servers that a person has taken out, listed or not.
+    pub(crate) excluded: BTreeSet<ServerId>,
     pub(crate) held: BTreeMap<RequestId, Held>,
     pub(crate) flights: BTreeMap<(RequestId, u16), Flight>,
     pub(crate) gate: Gate,
@@ -85,6 +89,10 @@
 pub struct Server {
     pub line: ServerLine,
     pub origin: bool,
+    /// A person has taken it out.
+    pub excluded: bool,
+    /// When it was put back, until an attempt has gone there; 0 else.
+    pub back: Micros,
     /// The highest weight seen; where weights fall with load, that of the idle server.
     pub size: f32,
     pub in_flight: u32,
@@ -105,6 +113,11 @@
 }
 
 impl Server {
+    /// Whether anything may be sent there, by what the list and people say.
+    pub fn open(&self) -> bool {
+        self.line.condition == Condition::Ready && !self.excluded
+    }
+
     /// Its answers as they count at a time, fading over a span.
     pub fn answered_lately(&self, now: Micros, span: Micros) -> f64 {
         self.answered * (-((now - self.heard) as f64) / span as f64).exp()
@@ -130,7 +143,9 @@
 /// A request that is owed a final answer.
 #[derive(Default)]
 pub struct Held {
-    pub class: usize,
+    /// Its class and the number of its attempts as they were when it came.
+    pub class: Class,
+    pub most: u32,
     pub key: Key,
     pub write: bool,
     pub missed: bool,
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -140,7 +140,9 @@
             f[0], f[1], f[2], f[3], f[4], f[5], f[6]
         );
         let times = [f[0], f[1], f[2], f[4], f[5], f[6]];
-        let sane = balancers > me && f[4] > 0.0 && f[3] <= 1e9 && times.iter().all(|time| *time <= 8.64e10);
+        let set = f[1] > 0.0 && f[2] > 0.0;
+        let sane =
+            set && balancers > me && f[4] > 0.0 && f[3] <= 1e9 && times.iter().all(|time| *time <= 8.64e10);
         (text, sane)
     })
 }
--- /dev/null
+++ b/tests/service.rs
@@ -0,0 +1,192 @@
+//! What people do to a balancer in service: servers taken out by hand and put back, new settings.
+#![allow(missing_docs)]
+
+mod common;
+
+use common::*;
+use spardeal::*;
+
+fn exclude(node: &mut Node, server: ServerId, out: bool) {
+    node.event(Event::Exclude { server, out });
+}
+
+/// Attempts at a server among what follows from so many reads, each answered.
+fn reads(node: &mut Node, from: u64, count: u64, server: ServerId) -> usize {
+    let mut there = 0;
+    for id in from..from + count {
+        let actions = node.request(read(id, 31 * id));
+        if let Some(to) = sent_to(&actions) {
+            there += usize::from(to == server);
+            node.pass(5 * MS);
+            node.outcome(id, 0, to, Status::Served);
+        }
+    }
+    there
+}
+
+#[test]
+fn nothing_goes_to_a_server_that_is_out_whatever_lists_settings_and_strikes_say() {
+    let mut node = Node::new(settings(), 4);
+    assert!(reads(&mut node, 1, 100, 2) > 0);
+    exclude(&mut node, 2, true);
+    exclude(&mut node, 2, true);
+    assert_eq!(node.policy.avoided(), 1);
+    assert_eq!(reads(&mut node, 1_000, 200, 2), 0);
+    let all = || (1..=4).map(server).chain([origin()]).collect::<Vec<_>>();
+    let gone = vec![ServerLine { condition: Condition::Gone, ..server(2) }];
+    node.list(ListKind::Delta, gone);
+    assert_eq!(reads(&mut node, 2_000, 200, 2), 0);
+    node.list(ListKind::Full, all());
+    assert_eq!(reads(&mut node, 3_000, 200, 2), 0);
+    node.event(Event::Settings { settings: Box::new(settings()), tenants: Vec::new() });
+    assert_eq!(reads(&mut node, 4_000, 200, 2), 0);
+    // Not the last server of the order either, when all others fail or are out.
+    [1, 3, 4].iter().for_each(|id| exclude(&mut node, *id, true));
+    let actions = node.request(read(9_000, 5));
+    assert!(refused(&actions, 9_000) && sends(&actions) == 0, "refused at once");
+    [1, 3, 4].iter().for_each(|id| exclude(&mut node, *id, false));
+    exclude(&mut node, 2, false);
+    assert_eq!(node.policy.avoided(), 0);
+    assert!(reads(&mut node, 10_000, 200, 2) > 0, "one call back undoes both calls out");
+}
+
+#[test]
+fn a_retry_and_a_second_copy_avoid_a_server_that_went_out_meanwhile() {
+    let mut node = Node::new(settings(), 2);
+    let mut checked = 0;
+    for id in 1..60 {
+        let Some(first) = sent_to(&node.request(read(id, id))) else { continue };
+        let other = 3 - first;
+        exclude(&mut node, other, true);
+        let mut actions = node.outcome(id, 0, first, Status::ConnectFailed);
+        actions.extend(node.pass(2 * SECOND));
+        assert_ne!(sent_to(&actions), Some(other));
+        exclude(&mut node, other, false);
+        checked += 1;
+        node.pass(20 * SECOND); // Both are warm again.
+    }
+    assert!(checked > 40, "{checked}");
+}
+
+#[test]
+fn a_server_put_back_has_a_clean_record_and_is_used_soon_by_every_balancer_of_a_large_fleet() {
+    // Of 200 servers one gets few of a balancer's reads: two a second here.
+    let mut node = Node::new(Settings { balancers: 300, warm_up: 60 * SECOND, ..settings() }, 200);
+    for attempt in 0..10 {
+        let id = 1 + attempt;
+        if let Some(to) = sent_to(&node.request(read(id, id))) {
+            node.outcome(id, 0, to, Status::ConnectFailed);
+        }
+    }
+    exclude(&mut node, 7, true);
+    node.pass(2 * SECOND);
+    exclude(&mut node, 7, false);
+    let mut there = 0;
+    for id in 100..106 {
+        node.pass(SECOND / 2);
+        let actions = node.request(read(id, 77 * id));
+        let Some(to) = sent_to(&actions) else { continue };
+        there += usize::from(to == 7);
+        node.outcome(id, 0, to, Status::Served);
+    }
+    assert!((1..=2).contains(&there), "{there} reads of six in the three seconds after it was put back");
+}
+
+fn told(change: impl FnOnce(&mut Settings)) -> Event {
+    let mut settings = settings();
+    change(&mut settings);
+    Event::Settings { settings: Box::new(settings), tenants: Vec::new() }
+}
+
+#[test]
+fn an_open_request_keeps_the_class_it_came_with() {
+    // What may have run goes again as long as the class says that it is safe; the class turns unsafe meanwhile.
+    let mut node = Node::new(settings(), 3);
+    let first = sent_to(&node.request(read(1, 5))).unwrap();
+    node.event(told(|s| s.classes[0].effect = Effect::Unsafe));
+    let again = node.outcome(1, 0, first, Status::Reset);
+    assert_eq!(sends(&again), 1, "the request came as a safe one");
+    let newer = sent_to(&node.request(read(2, 6))).unwrap();
+    let again = node.outcome(2, 0, newer, Status::Reset);
+    assert!(sends(&again) == 0 && failed(&again, 2), "this one came as an unsafe one");
+    // And the other way round: an unsafe request stays one though its class is safe now.
+    let mut node = Node::new(settings(), 3);
+    let once = write(1, 2);
+    node.request(once);
+    node.event(told(|s| s.classes[2].effect = Effect::Safe));
+    let after = node.outcome(1, 0, ORIGIN, Status::Reset);
+    assert!(sends(&after) == 0 && failed(&after, 1), "{after:?}");
+}
+
+#[test]
+fn an_open_request_makes_no_more_attempts_than_when_it_came_nor_than_are_allowed_now() {
+    for (before, after, most) in [(2, 4, 2), (4, 2, 2)] {
+        let mut node = Node::new(Settings { max_attempts: before, ..settings() }, 6);
+        let mut to = sent_to(&node.request(read(1, 5)));
+        node.event(told(|s| s.max_attempts = after));
+        let mut sent = 0;
+        while let Some(server) = to {
+            to = sent_to(&node.outcome(1, sent, server, Status::ConnectFailed));
+            sent += 1;
+        }
+        assert_eq!(sent, most, "from {before} to {after}");
+    }
+}
+
+#[test]
+fn a_class_that_goes_while_its_requests_wait_at_the_gate_leaves_them_whole() {
+    let mut node = Node::new(settings(), 3);
+    let mut waiting = Vec::new();
+    for id in 1..200 {
+        let actions = node.request(write(id, 2));
+        if sends(&actions) == 0 && !refused(&actions, id) {
+            waiting.push(id);
+        }
+    }
+    assert!(!waiting.is_empty());
+    node.event(told(|s| s.classes.truncate(1)));
+    node.pass(2 * SECOND);
+    for id in waiting {
+        let ended = refused(&node.actions, id) || failed(&node.actions, id);
+        let sent = node.actions.iter().any(|a| matches!(a, Action::Send { request, .. } if *request == id));
+        assert!(ended || sent, "request {id} was forgotten");
+    }
+}
+
+#[test]
+fn what_tenants_have_used_goes_over_to_their_new_places() {
+    let tenant = |quota_per_s| Tenant { quota_per_s };
+    let tenants = vec![tenant(1.0), tenant(1000.0)];
+    let mut node = Node::just_started(Settings { tenants: tenants.clone(), ..settings() }, 3);
+    let ask = |node: &mut Node, id: u64, tenant: usize| {
+        let actions = node.request(Request { tenant, ..read(id, id) });
+        let to = sent_to(&actions);
+        to.inspect(|to| drop(node.outcome(id, 0, *to, Status::Served)));
+        to.is_some()
+    };
+    let spent = (1..100).take_while(|id| ask(&mut node, *id, 0)).count();
+    assert!(spent < 99, "the first tenant's bucket is empty");
+    let swapped = Settings { tenants: vec![tenants[1].clone(), tenants[0].clone()], ..settings() };
+    node.event(Event::Settings { settings: Box::new(swapped), tenants: vec![Some(1), Some(0)] });
+    assert!(!ask(&mut node, 500, 1), "it stays empty in its new place");
+    assert!(ask(&mut node, 501, 0), "and the other's is full still");
+}
+
+#[test]
+fn the_stricter_of_two_classes_allows_nothing_that_one_of_them_forbids() {
+    let keyed = |group, window| Effect::Keyed { group, window };
+    let class = |effect, deadline| Class { effect, deadline, ..Class::default() };
+    for (a, b, both) in [
+        (Effect::Safe, Effect::Unsafe, Effect::Unsafe),
+        (keyed(Group::All, 5), Effect::Unsafe, Effect::Unsafe),
+        (Effect::Safe, keyed(Group::Zone, 5), keyed(Group::Zone, 5)),
+        (keyed(Group::All, 5), keyed(Group::Zone, 9), keyed(Group::Zone, 5)),
+        (keyed(Group::Cell, 5), keyed(Group::Zone, 3), keyed(Group::Cell, 3)),
+        (Effect::Safe, Effect::Safe, Effect::Safe),
+    ] {
+        for (a, b) in [(a, b), (b, a)] {
+            let merged = class(a, 7).stricter(&class(b, 4));
+            assert_eq!((merged.effect, merged.deadline), (both, 4), "{a:?} and {b:?}");
+        }
+    }
+}
