Replacement: a second process takes the clients' socket over under the same limits

Causes, by a trace of TERM, DRAIN and LAST: the new process was ready 20 ms before SIGTERM, the old one looked for it each 200 ms only and drained as if alone; closing idle connections asked the runtime, not the socket, whether a request had come; between an answer and its connection's end lay a millisecond of other writes; and a gate divided by stage let the old process's requests pile up until its end. Now: it looks at once at SIGTERM, closes in the same step as it writes the last answer, asks the socket, divides by open requests, and answers what is owed shortly before its end. Ruled out: the new process (ready in 0.0 s), descriptors (291 of 384).

--- a/crates/stonevane-core/src/clients/session.rs
+++ b/crates/stonevane-core/src/clients/session.rs
@@ -238,6 +238,11 @@
         !self.slots.is_empty() || self.writing.is_some()
     }
 
+    /// Whether what is being written is the last that it is owed.
+    pub fn owes_no_more(&self) -> bool {
+        self.slots.is_empty() && self.input.is_empty()
+    }
+
     /// Whether it stands between requests.
     pub fn between(&self) -> bool {
         !self.owes() && self.input.is_empty() && !self.broken && !self.lingers
--- a/crates/stonevane-core/src/io.rs
+++ b/crates/stonevane-core/src/io.rs
@@ -7,6 +7,7 @@
 use spardeal::Micros;
 use spardeal::settings::Deployment;
 
+use crate::beside::Grant;
 use crate::list::{Era, Listing};
 use crate::reply::{ConnId, Reply};
 use crate::request::Command;
@@ -22,6 +23,8 @@
     Bytes(ConnId, &'a [u8]),
     /// All of the last [`Output::Write`] has been handed to the machine.
     Flushed(ConnId),
+    /// The last answer is written and the end is behind it; [`Input::Ended`] follows.
+    Parted(ConnId),
     /// A connection has ended, at either side, or could not be opened: it exists no more.
     Ended(ConnId),
     /// A call that is no stream has its answer.
@@ -40,6 +43,8 @@
     Unusable,
     /// A person takes the cache server of a name out, or puts it back.
     Exclude(String, bool),
+    /// What this process of the node may take, while another stands beside it or has ended.
+    Beside(Grant),
     /// The platform asks the node to end.
     Terminate,
     /// Nothing has happened but time.
@@ -102,6 +107,9 @@
 pub enum Output {
     /// Write to a connection. There is one at a time; its end is told by [`Input::Flushed`].
     Write(ConnId, Bytes),
+    /// Write the last answer to a client, with the end right behind it ([`Input::Parted`]); where something has come on
+    /// the connection, that goes in and this is an [`Output::Write`].
+    Last(ConnId, Bytes),
     /// Write the first bytes of a request to a connection that may have ended unseen: what it brought meanwhile, or
     /// its end, goes in first, and then nothing is written.
     Ask(ConnId, Bytes),
@@ -124,6 +132,8 @@
     Placement(Vec<SocketAddr>),
     /// What is listened on takes no more, but what the machine has taken already.
     Draining,
+    /// What is listened on is a newer process's from now on: nothing more is taken here.
+    Succeeded,
     /// A line for the log.
     Log(Note),
     /// All that was taken is answered: the node ends.
--- a/crates/stonevane-core/src/lib.rs
+++ b/crates/stonevane-core/src/lib.rs
@@ -5,6 +5,7 @@
 //! budgets of descriptors and memory, discovery's list and the drain at SIGTERM. It reads no clock, does no I/O, and
 //! has no randomness but the seed: the same inputs at the same times give the same outputs.
 
+pub mod beside;
 mod clients;
 mod faults;
 mod figures;
--- a/crates/stonevane-core/src/memory.rs
+++ b/crates/stonevane-core/src/memory.rs
@@ -16,8 +16,10 @@
 
 /// The budget.
 pub struct Memory {
-    free: Arc<AtomicU32>,
+    taken: Arc<AtomicU32>,
     units: u32,
+    /// What may be taken now: less than the whole while another process of the node has a part of it.
+    may: u32,
     /// Connections that wait for a part, in their order.
     waiting: VecDeque<(ConnId, u32)>,
 }
@@ -26,12 +28,12 @@
 #[derive(Debug)]
 pub struct Share {
     units: u32,
-    free: Arc<AtomicU32>,
+    taken: Arc<AtomicU32>,
 }
 
 impl Drop for Share {
     fn drop(&mut self) {
-        self.free.fetch_add(self.units, Ordering::Relaxed);
+        self.taken.fetch_sub(self.units, Ordering::Relaxed);
     }
 }
 
@@ -39,8 +41,13 @@
     /// The budget of a node that may have so many megabytes in all.
     pub fn new(memory_mb: usize) -> Memory {
         let units = (memory_mb.saturating_sub(BASE_MB).max(4) * 1024 * 1024 / SLACK / UNIT).min(1 << 28);
-        let free = Arc::new(AtomicU32::new(units as u32));
-        Memory { free, units: units as u32, waiting: VecDeque::new() }
+        let units = units as u32;
+        Memory { taken: Arc::default(), units, may: units, waiting: VecDeque::new() }
+    }
+
+    /// From now on no more than so many bytes may be taken; what is taken stays.
+    pub fn limit(&mut self, bytes: usize) {
+        self.may = (bytes / UNIT).min(self.units as usize) as u32;
     }
 
     /// The whole of it, in bytes.
@@ -50,19 +57,19 @@
 
     /// What is taken, in bytes.
     pub fn taken(&self) -> usize {
-        (self.units - self.free.load(Ordering::Relaxed)) as usize * UNIT
+        self.taken.load(Ordering::Relaxed) as usize * UNIT
     }
 
     fn units(&self, bytes: usize) -> u32 {
         // More than all there is would be waited for in vain.
-        bytes.div_ceil(UNIT).min(self.units as usize) as u32
+        bytes.div_ceil(UNIT).min(self.may as usize) as u32
     }
 
     fn take(&self, units: u32) -> Option<Share> {
-        let free = self.free.load(Ordering::Relaxed);
-        (free >= units).then(|| {
-            self.free.store(free - units, Ordering::Relaxed);
-            Share { units, free: self.free.clone() }
+        let taken = self.taken.load(Ordering::Relaxed);
+        (self.may >= taken.saturating_add(units)).then(|| {
+            self.taken.store(taken + units, Ordering::Relaxed);
+            Share { units, taken: self.taken.clone() }
         })
     }
 
@@ -79,6 +86,7 @@
     /// Who has waited longest, and now has its part.
     pub fn granted(&mut self) -> Option<(ConnId, Share)> {
         let (conn, units) = *self.waiting.front()?;
+        let units = units.min(self.may);
         let share = self.take(units)?;
         self.waiting.pop_front();
         Some((conn, share))
--- a/crates/stonevane-core/src/node.rs
+++ b/crates/stonevane-core/src/node.rs
@@ -15,6 +15,7 @@
 use stonevane_config::operator;
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::beside::{Grant, Room, Stage};
 use crate::clients::{self, Asked, Clients, Limits, Over, PIECE, Session, Slot};
 use crate::faults::{Faults, Honest, Mutant};
 use crate::figures::{Counts, Figures, Report};
@@ -28,14 +29,19 @@
 
 /// After SIGTERM, connections go on being taken for this long: new ones keep coming for up to 0.4 s.
 const ACCEPT_ON: Micros = 450_000;
-/// A node that drains ends this long after the longest deadline at the latest.
+/// A node that drains ends this long after the longest deadline at the latest, and no deadline counts for more.
 const DRAIN_SLACK: Micros = 550_000;
+const LONGEST_DRAIN: Micros = 3_000_000;
+/// What is still owed so long before that end is answered as it stands.
+const LAST: Micros = 60_000;
 const SWEEP: Micros = 1_000_000;
 /// What is found due so late tells that the process stood still; then it takes what came meanwhile for so long before it
 /// does what is due. Against a retry to a server whose drain was told while the process stood still.
 const STOOD_STILL: (Micros, Micros) = (100_000, 5_000);
 /// Entries among the timers that are never looked through.
 const TIMERS: usize = 512;
+/// What a second process of the node takes for itself, in megabytes.
+const SECOND_MB: usize = 6;
 /// Requests taken and not yet answered.
 const MAX_OPEN: usize = 1024;
 /// Sockets kept back for the listener, discovery and the runtime, and for those just being closed.
@@ -75,6 +81,8 @@
     pub copies: bool,
     /// Sockets that are held back for others than clients, servers and discovery.
     pub others: usize,
+    /// Whether another process may stand beside this one, under the same limits, to replace it.
+    pub replaced: bool,
     /// Names of cache servers that people have taken out.
     pub excluded: Vec<String>,
 }
@@ -174,6 +182,10 @@
     part: usize,
     /// How many of the places for clients are kept for refusals.
     refusals: usize,
+    /// What all processes of the node may hold together, and whether a newer one takes clients.
+    whole: Room,
+    succeeded: bool,
+    shared: bool,
     memory: Memory,
     /// The longest value that a server may bring.
     longest: usize,
@@ -201,7 +213,7 @@
 impl<F: Faults> Core<F> {
     /// A node that does something wrong on purpose.
     pub fn with_faults(now: Micros, setup: Setup, faults: F) -> Core<F> {
-        let Setup { mut deployment, sockets, known, others, excluded, .. } = setup;
+        let Setup { mut deployment, sockets, known, others, excluded, replaced, .. } = setup;
         if faults.plays(Mutant::LongWindow) {
             for class in &mut deployment.settings.classes {
                 if let Effect::Keyed { window, .. } = &mut class.effect {
@@ -211,9 +223,11 @@
         }
         // Clients and servers share the table of sockets; neither can take more of it than leaves the others a
         // third at the least.
-        let places = sockets - (RESERVE + others + sockets / 32).min(sockets / 2);
+        let each = (RESERVE + others) * if replaced { 2 } else { 1 };
+        let places = sockets - (each + sockets / 32).min(sockets / 2);
         let part = places * 2 / 3;
-        let memory = Memory::new(setup.memory_mb);
+        let memory =
+            Memory::new(setup.memory_mb - if replaced { SECOND_MB.min(setup.memory_mb / 4) } else { 0 });
         let aim = deployment.settings.classes.iter().map(|class| class.aim).max().unwrap_or(0);
         let rest = setup.servers.rest.as_micros() as Micros;
         let mut core = Core {
@@ -237,6 +251,9 @@
             places,
             part,
             refusals: (part / 8).max(1),
+            whole: Room { places, memory: memory.all() },
+            succeeded: false,
+            shared: false,
             // Servers may hold values that are longer than what clients send through here: what bounds them is memory.
             longest: (memory.all() / 4).min(MAX_ANSWER),
             memory,
@@ -274,6 +291,10 @@
 
     /// Whether a client's connection may be taken now.
     pub fn accepts(&self) -> bool {
+        // While there is little room here, it is left to the other process, which takes from the same queue.
+        if self.shared && (self.clients.sessions.len() >= self.places / 4 || self.free() < self.places / 2) {
+            return false;
+        }
         self.clients.sessions.len() < self.part && self.free() > 0 || self.faults.plays(Mutant::OverPlaces)
     }
 
@@ -343,6 +364,7 @@
             Input::Accepted(id) => self.accepted(id),
             Input::Bytes(id, bytes) => self.bytes(id, bytes),
             Input::Flushed(id) => self.flushed(id),
+            Input::Parted(id) => self.parted(id),
             Input::Ended(id) => self.ended(id),
             Input::Opened(id) => self.opened(id),
             Input::Replied(id, reply) => self.replied(id, reply),
@@ -359,6 +381,7 @@
             Input::Settings(deployment) => self.settings(deployment),
             Input::Unusable => self.figures.reloads_failed += 1,
             Input::Exclude(name, out) => self.exclude(name, out),
+            Input::Beside(grant) => self.beside(grant),
             Input::Terminate => self.terminate(),
             Input::Wake => {}
         }
@@ -434,9 +457,12 @@
                 gone.into_iter().for_each(|id| self.out.push_back(Output::Close(id)));
                 self.timers.push(self.now + SWEEP, Due::Sweep);
             }
+            Due::Last => self.tell(Event::Ending),
             Due::Drain => {
                 self.phase = Phase::Draining;
-                self.out.push_back(Output::Draining);
+                if !self.succeeded {
+                    self.out.push_back(Output::Draining);
+                }
                 self.clients.between().into_iter().for_each(|id| self.part(id));
                 if self.faults.plays(Mutant::LoseAtTerm) {
                     let mut all: Vec<_> = self.clients.sessions.keys().copied().collect();
@@ -464,8 +490,19 @@
             return;
         }
         let longest = self.deployment.settings.classes.iter().map(|c| c.deadline).max();
-        self.ends_at = Some(self.now + longest.unwrap_or(0) + DRAIN_SLACK);
-        self.timers.push(self.now + ACCEPT_ON, Due::Drain);
+        let longest = longest.unwrap_or(0).min(LONGEST_DRAIN);
+        let ends_at = self.now + longest + DRAIN_SLACK;
+        self.ends_at = Some(ends_at);
+        self.timers.push(ends_at - LAST, Due::Last);
+        if self.succeeded {
+            // Who has a kept connection goes on using it for as long as it stays open: each is closed right behind an
+            // answer, when nothing can be on its way, and one that brings no request by then when its time is up.
+            self.phase = Phase::Draining;
+            self.out.push_back(Output::Succeeded);
+            self.timers.push(self.now + longest, Due::Drain);
+        } else {
+            self.timers.push(self.now + ACCEPT_ON, Due::Drain);
+        }
         self.timers.push(self.now + ACCEPT_ON + 20_000, Due::Ended);
     }
 
@@ -530,6 +567,14 @@
         }
     }
 
+    fn parted(&mut self, id: ConnId) {
+        if let Some(session) = self.clients.sessions.get_mut(&id) {
+            session.flushed(self.now);
+            session.lingers = true;
+            self.clients.note_idle(id);
+        }
+    }
+
     fn ended(&mut self, id: ConnId) {
         if self.clients.sessions.contains_key(&id) {
             return self.client_gone(id);
@@ -615,7 +660,9 @@
         }
         let Some(session) = self.clients.sessions.get_mut(&id) else { return };
         if let Some(bytes) = session.ready(self.now, &self.clients.limits) {
-            self.out.push_back(Output::Write(id, bytes));
+            // Whoever is closed between requests is closed right behind an answer, where nothing can be on its way.
+            let last = self.phase == Phase::Draining && !session.broken && session.owes_no_more();
+            self.out.push_back(if last { Output::Last(id, bytes) } else { Output::Write(id, bytes) });
         }
         if session.wants(memory) {
             self.memory.wait(id, 2 * MAX_VALUE);
@@ -630,7 +677,7 @@
         }
         let limit = session.limit(memory, &self.clients.limits);
         session.armed.arm(limit, id, &mut self.timers);
-        if self.phase == Phase::Draining && session.between() {
+        if self.phase == Phase::Draining && session.between() && (session.first > 0 || !self.succeeded) {
             self.part(id);
         }
         self.clients.note_idle(id);
@@ -1308,6 +1355,11 @@
         self.tell(Event::Exclude { server, out });
     }
 
+    /// Names of the cache servers that are out by hand.
+    pub fn excluded(&self) -> Vec<String> {
+        self.excluded.values().cloned().collect()
+    }
+
     /// Whether it takes clients.
     pub fn ready(&self) -> bool {
         self.phase == Phase::Ready && self.ends_at.is_none()
@@ -1329,6 +1381,27 @@
         }
     }
 
+    /// What it holds of what several processes of the node may hold together, the requests it has open, how far it has
+    /// come, and that whole.
+    pub fn standing(&self) -> (Room, usize, Stage, Room) {
+        let places = self.clients.sessions.len() + self.pool.len();
+        let stage = match (self.ends_at, self.phase) {
+            (None, Phase::Starting) => Stage::Starting,
+            (None, _) => Stage::Serving,
+            (Some(_), _) => Stage::Draining,
+        };
+        (Room { places, memory: self.memory.taken() }, self.owed, stage, self.whole)
+    }
+
+    fn beside(&mut self, grant: Grant) {
+        self.places = grant.room.places.min(self.whole.places);
+        self.part = self.places * 2 / 3;
+        self.refusals = (self.part / 8).max(1);
+        self.memory.limit(grant.room.memory);
+        (self.succeeded, self.shared) = (grant.succeeded, grant.shared);
+        self.tell(Event::Part(grant.part));
+    }
+
     /// Counts of each class.
     pub fn counts(&self) -> impl Iterator<Item = (&str, &Counts)> {
         self.figures.classes()
--- a/crates/stonevane-core/src/timers.rs
+++ b/crates/stonevane-core/src/timers.rs
@@ -24,6 +24,8 @@
     Sweep,
     /// Connections of clients are closed from now on.
     Drain,
+    /// The time is nearly up: what is owed is answered as it stands.
+    Last,
     /// Whether all is answered is looked at.
     Ended,
     /// Clients have had their time to name what the latest settings have.
--- a/crates/stonevane-core/tests/common/mod.rs
+++ b/crates/stonevane-core/tests/common/mod.rs
@@ -63,6 +63,7 @@
         store,
         copies: store,
         others: 0,
+        replaced: false,
         excluded: Vec::new(),
     };
     Core::new(START, setup)
--- a/crates/stonevane-node/src/config.rs
+++ b/crates/stonevane-node/src/config.rs
@@ -1,6 +1,6 @@
 //! `$ROUTER_CONFIG` and the variables beside it, read into typed settings.
 
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpListener};
 
 use serde::Deserialize;
 use spardeal::settings::{self, Deployment};
@@ -9,11 +9,15 @@
 
 use stonevane_core::Listing;
 
+use crate::listener;
+
 /// All that a node is told at its start.
 #[derive(Debug)]
 pub struct Config {
     /// Where clients connect.
     pub listen: SocketAddr,
+    /// The listening socket that was passed on, where one was.
+    pub inherited: Option<TcpListener>,
     /// The second address, where one is configured.
     pub mgmt: Option<SocketAddr>,
     /// Where discovery is asked.
@@ -45,6 +49,8 @@
     Json(serde_json::Error),
     /// It lacks a key that the file before it had.
     Missing(String),
+    /// What was passed on as the clients' socket is none.
+    Inherited(std::io::Error),
     /// A field has no usable value.
     Field(&'static str, String),
     /// The settings can't be used.
@@ -57,6 +63,7 @@
             ConfigError::Unset(name) => write!(f, "{name} is not set"),
             ConfigError::File(path, e) => write!(f, "cannot read {path}: {e}"),
             ConfigError::Json(e) => write!(f, "unreadable configuration: {e}"),
+            ConfigError::Inherited(e) => write!(f, "ROUTER_LISTEN_FD {e}"),
             ConfigError::Missing(key) => write!(f, "the configuration lacks {key}, which the last one had"),
             ConfigError::Field(name, value) => write!(f, "unusable {name} in the configuration: {value:?}"),
             ConfigError::Settings(e) => write!(f, "{e}"),
@@ -140,10 +147,15 @@
             Some(at_start) if last.is_none() || file.discovery.is_empty() => at_start,
             _ => file.discovery,
         };
+        // Taken once: at a reload the clients' socket stays.
+        let inherited = var("ROUTER_LISTEN_FD").filter(|_| last.is_none());
+        let inherited =
+            inherited.map(|number| listener::inherit(&number)).transpose().map_err(ConfigError::Inherited)?;
         let mgmt = Some(var("ROUTER_MGMT").unwrap_or(file.mgmt)).filter(|at| !at.is_empty());
         let seed = u64::from_str_radix(&file.seed, 16);
         Ok(Config {
             listen: address("listen", var("ROUTER_LISTEN").unwrap_or(file.listen))?,
+            inherited,
             mgmt: mgmt.map(|at| address("mgmt", at)).transpose()?,
             discovery: address("discovery", discovery)?,
             seed: seed.unwrap_or_else(|_| xxh3_64(file.seed.as_bytes())),
--- a/crates/stonevane-node/src/driver.rs
+++ b/crates/stonevane-node/src/driver.rs
@@ -11,6 +11,7 @@
 use foldhash::{HashMap, HashMapExt};
 use rustix::net::RecvFlags;
 use spardeal::Micros;
+use stonevane_core::beside::{Room, Stage};
 use stonevane_core::management::{Answer, Call};
 use stonevane_core::{ConnId, Core, Input, Note, Output, Outputs};
 use tokio::io::Interest;
@@ -75,6 +76,8 @@
     /// What is listened on takes no more, but what the machine has taken already.
     draining: Notify,
     drains: AtomicBool,
+    /// A newer process takes what comes from now on.
+    succeeded: AtomicBool,
     done: Notify,
 }
 
@@ -131,6 +134,7 @@
             accepts: AtomicBool::new(false),
             draining: Notify::new(),
             drains: AtomicBool::new(false),
+            succeeded: AtomicBool::new(false),
             done: Notify::new(),
         });
         let (weak, shut) = (Arc::downgrade(&driver), Arc::downgrade(&driver));
@@ -200,6 +204,26 @@
         }
     }
 
+    /// What it holds of what all processes of the node may hold together, what is open, how far it has come, and that
+    /// whole.
+    pub fn standing(&self) -> (Room, usize, Stage, Room) {
+        self.lock().core.standing()
+    }
+
+    /// Takes up what people have said to another process of this node.
+    pub fn recall(self: &Arc<Self>) {
+        let out = self.kept.excluded();
+        let mut state = self.lock();
+        let known = state.core.excluded();
+        for name in known.iter().filter(|name| !out.contains(name)) {
+            self.tell(&mut state, Input::Exclude(name.clone(), false));
+        }
+        for name in out.iter().filter(|name| !known.contains(name)) {
+            self.tell(&mut state, Input::Exclude(name.clone(), true));
+        }
+        self.perform(&mut state);
+    }
+
     fn tell(&self, state: &mut State, input: Input<'_>) {
         state.core.handle(self.clock.now(), input, &mut state.outputs);
     }
@@ -209,10 +233,17 @@
         while let Some(output) = state.outputs.pop_front() {
             match output {
                 Output::Write(id, bytes) => self.write(state, id, bytes),
+                Output::Last(id, bytes) => {
+                    if self.drained(state, id, true) {
+                        self.write_last(state, id, bytes);
+                    } else {
+                        self.write(state, id, bytes);
+                    }
+                }
                 Output::Ask(id, bytes) => {
                     // First: a connection that the server has ended is not written to, so that its request surely
                     // never ran.
-                    if self.drained(state, id) {
+                    if self.drained(state, id, false) {
                         self.write(state, id, bytes);
                     }
                 }
@@ -232,20 +263,15 @@
                 }
                 Output::Close(id) => drop(state.links.remove(&id)),
                 Output::Part(id) => {
-                    if state.core.parts(id) && self.drained(state, id) && state.links.remove(&id).is_some() {
+                    if state.core.parts(id)
+                        && self.drained(state, id, true)
+                        && state.links.remove(&id).is_some()
+                    {
                         self.tell(state, Input::Ended(id));
                     }
                 }
                 Output::Linger(id) => {
-                    let Some(link) = state.links.get_mut(&id) else { continue };
-                    let Some(stream) = link.stream.clone() else { continue };
-                    link.task.take().inspect(AbortHandle::abort);
-                    let own = self.clone();
-                    let lingers = async move {
-                        let _ = timeout(LINGER.0, linger(&stream)).await;
-                        own.ended(id);
-                    };
-                    link.task = Some(tokio::spawn(lingers).abort_handle());
+                    self.linger(state, id);
                 }
                 Output::Resume(id) => {
                     if let Some(link) = state.links.get(&id) {
@@ -266,6 +292,10 @@
                     self.drains.store(true, Ordering::Relaxed);
                     self.draining.notify_one();
                 }
+                Output::Succeeded => {
+                    self.succeeded.store(true, Ordering::Relaxed);
+                    self.draining.notify_one();
+                }
                 Output::Log(Note::Module(line)) => log(&line),
                 Output::Log(Note::Fault(line)) => log(&format!("fault: {line}")),
                 Output::Done => self.done.notify_one(),
@@ -315,6 +345,9 @@
             while !self.accepts.load(Ordering::Relaxed) {
                 self.accept.notified().await;
             }
+            if self.succeeded.load(Ordering::Relaxed) {
+                return;
+            }
             let draining = self.drains.load(Ordering::Relaxed);
             let accepted = tokio::select! {
                 biased;
@@ -406,11 +439,19 @@
         if over { Received::Over } else { Received::Some }
     }
 
-    /// Whether a connection has brought nothing; the core is told of what it has, or of its end.
-    fn drained(&self, state: &mut State, id: ConnId) -> bool {
+    /// Whether a connection has brought nothing; the core is told of what it has, or of its end. `surely`: asked of the
+    /// socket itself. What the runtime knows of it may be as old as this turn, which a machine with a part of a core can
+    /// make long: a client's request that came meanwhile would be lost with the connection.
+    fn drained(&self, state: &mut State, id: ConnId, surely: bool) -> bool {
         let Some(stream) = state.links.get(&id).and_then(|link| link.stream.clone()) else { return false };
-        // With no look at the socket where the machine has told of nothing.
-        let read = receive(&stream, &mut state.scratch[..4096]);
+        // Else with no look at the socket where the machine has told of nothing.
+        let piece = &mut state.scratch[..4096];
+        let read = match surely {
+            true => rustix::net::recv(&stream, &mut *piece, RecvFlags::DONTWAIT)
+                .map(|(count, _)| count)
+                .map_err(Into::into),
+            false => receive(&stream, piece),
+        };
         let input = match read {
             Ok(count) if count > 0 => Input::Bytes(id, &state.scratch[..count]),
             read if would_block(&read) => return true,
@@ -423,6 +464,34 @@
         false
     }
 
+    /// Ends a connection's sending, and reads on for a moment.
+    fn linger(self: &Arc<Self>, state: &mut State, id: ConnId) {
+        let Some(link) = state.links.get_mut(&id) else { return };
+        let Some(stream) = link.stream.clone() else { return };
+        let _ = rustix::net::shutdown(&stream, rustix::net::Shutdown::Write);
+        link.task.take().inspect(AbortHandle::abort);
+        let own = self.clone();
+        let lingers = async move {
+            let _ = timeout(LINGER.0, linger(&stream)).await;
+            own.ended(id);
+        };
+        link.task = Some(tokio::spawn(lingers).abort_handle());
+    }
+
+    /// Writes the last answer, with the end right behind it: no request can be on its way to a connection that its
+    /// client learns is closed as soon as it has the answer.
+    fn write_last(self: &Arc<Self>, state: &mut State, id: ConnId, bytes: Bytes) {
+        let stream = state.links.get(&id).and_then(|link| link.stream.clone());
+        match stream.map(|stream| stream.try_write(&bytes)) {
+            Some(Ok(count)) if count == bytes.len() => {
+                self.linger(state, id);
+                self.tell(state, Input::Parted(id));
+            }
+            Some(Ok(count)) => self.write(state, id, bytes.slice(count..)),
+            _ => self.write(state, id, bytes),
+        }
+    }
+
     fn write(self: &Arc<Self>, state: &mut State, id: ConnId, mut bytes: Bytes) {
         let Some(link) = state.links.get_mut(&id) else { return };
         let Some(stream) = link.stream.clone() else { return };
@@ -458,7 +527,6 @@
 /// Reads on for a moment after the last answer: a close with input unread would reset the connection and
 /// could take the answer away from the client.
 async fn linger(stream: &TcpStream) {
-    let _ = rustix::net::shutdown(stream, rustix::net::Shutdown::Write);
     let mut sink = vec![0u8; 16 * 1024];
     let mut left = LINGER.1;
     while left > 0 {
--- a/crates/stonevane-node/src/lib.rs
+++ b/crates/stonevane-node/src/lib.rs
@@ -1,12 +1,14 @@
 //! One node: drives the core (`stonevane-core`) on sockets, with discovery, and with a store of record in the origin's
 //! place where the operator says so.
 
+mod beside;
 mod clock;
 mod config;
 mod copies;
 mod discovery;
 mod driver;
 mod kept;
+mod listener;
 mod management;
 mod store;
 
@@ -19,19 +21,35 @@
 use stonevane_core::{Core, Input, Setup};
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::{mpsc, oneshot};
 
+use beside::Beside;
 use clock::{Clock, log};
 use config::Config;
 use driver::Driver;
 use kept::Kept;
 use store::Record;
 
+/// Has the other processes of the node looked at now.
+async fn look(at_once: &Option<mpsc::Sender<oneshot::Sender<()>>>) {
+    let Some(at_once) = at_once else { return };
+    let (done, looked) = oneshot::channel();
+    if at_once.send(done).await.is_ok() {
+        let _ = looked.await;
+    }
+}
+
 async fn run(config: Config, store: Option<Arc<Record>>) -> std::io::Result<()> {
-    let kept = Kept::new(std::env::var_os("TMPDIR").filter(|dir| !dir.is_empty()).map(PathBuf::from));
+    let tmpdir = std::env::var_os("TMPDIR").filter(|dir| !dir.is_empty()).map(PathBuf::from);
+    let kept = Kept::new(tmpdir.clone());
     let clock = Clock::start();
     let mut terms = [signal(SignalKind::terminate())?, signal(SignalKind::interrupt())?];
     let mut hangup = signal(SignalKind::hangup())?;
-    let listener = TcpListener::bind(config.listen).await?;
+    let replaced = config.inherited.is_some();
+    let listener = match config.inherited {
+        Some(inherited) => TcpListener::from_std(inherited)?,
+        None => TcpListener::bind(config.listen).await?,
+    };
     log(&format!("listening on {}", listener.local_addr()?));
     let management = match config.mgmt {
         Some(address) => {
@@ -59,16 +77,36 @@
         copies: store.as_ref().is_some_and(|store| store.copies()),
         others: management.as_ref().map_or(0, |_| management::SOCKETS),
         excluded,
+        replaced,
     };
     let driver = Driver::new(Core::new(clock.now(), setup), clock, kept, store.clone());
+    // Before anything is taken: what a process that is to be replaced holds counts for both.
+    let beside =
+        match tmpdir.filter(|_| replaced).map(|dir| Beside::new(&dir, (clock.now(), std::process::id()))) {
+            None => None,
+            Some(Ok(mut beside)) => {
+                beside.look(&driver);
+                let (at_once, told) = mpsc::channel(1);
+                Some((tokio::spawn(beside.run(driver.clone(), told)), at_once))
+            }
+            Some(Err(e)) => {
+                log(&format!("another process of this node can't be told from here: {e}"));
+                None
+            }
+        };
     if let Some(listener) = management {
         tokio::spawn(management::serve(listener, driver.clone()));
     }
     let signals = driver.clone();
+    let looks = beside.as_ref().map(|(_, at_once)| at_once.clone());
     tokio::spawn(async move {
         let [term, int] = &mut terms;
         tokio::select! { _ = term.recv() => {}, _ = int.recv() => {} }
+        // Whether a newer process takes the clients over is to be known before anything is closed, and that one learns
+        // at once that it takes them alone.
+        look(&looks).await;
         signals.input(Input::Terminate);
+        look(&looks).await;
     });
     let reloads = driver.clone();
     let mut last = config.text;
@@ -91,6 +129,11 @@
         }
     });
     driver.run(listener).await;
+    if let Some((beside, _)) = beside {
+        // Its files go with it.
+        beside.abort();
+        let _ = beside.await;
+    }
     if let Some(store) = store {
         log(&store.done());
     }
--- a/crates/stonevane-node/tests/node/service.rs
+++ b/crates/stonevane-node/tests/node/service.rs
@@ -1,9 +1,14 @@
 //! Daily service: the second address, its figures, servers out by hand, new settings.
 
 use std::io::{Read, Write};
-use std::net::TcpStream;
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::os::fd::OwnedFd;
+use std::path::Path;
+use std::process::Stdio;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::mpsc::channel;
 use std::sync::{Arc, Mutex};
+use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
 use crate::stand_in::*;
@@ -209,3 +214,144 @@
         std::fs::remove_file(path).unwrap();
     }
 }
+
+/// Starts a process that takes a socket over, as the platform passes it on.
+fn successor(listener: &TcpListener, discovery: SocketAddr, known: &str, folder: &Path) -> Node {
+    let before = "exec 4<&0 </dev/null; ROUTER_LISTEN_FD=4";
+    let socket = OwnedFd::from(listener.try_clone().unwrap());
+    Node::start_managed_with(discovery, known, folder, before, |command| {
+        command.stdin(Stdio::from(socket));
+    })
+}
+
+/// What clients saw while a node was replaced.
+#[derive(Debug, Default)]
+struct Seen {
+    served: usize,
+    other: Vec<String>,
+    /// Requests whose connection ended with no answer.
+    door: usize,
+}
+
+/// Clients that ask one thing after the other until told to stop; half of them keep their connections.
+fn clients(address: SocketAddr, stop: &Arc<AtomicBool>) -> Vec<JoinHandle<Seen>> {
+    let client = |number: usize| {
+        let stop = stop.clone();
+        std::thread::spawn(move || {
+            let mut seen = Seen::default();
+            let mut conn: Option<Client> = None;
+            for request in 0.. {
+                if stop.load(Ordering::Relaxed) {
+                    break;
+                }
+                let mut client = conn.take().unwrap_or_else(|| Client::connect(address));
+                let id = format!("{number}-{request}");
+                client.send(&get(&format!("k{}", (number * 31 + request) % 97), &id));
+                match client.answer() {
+                    None => seen.door += 1,
+                    Some(answer) if answer == "value" => seen.served += 1,
+                    Some(answer) => seen.other.push(answer),
+                }
+                // Within the tenant's quota.
+                std::thread::sleep(Duration::from_millis(30 + number as u64 % 7));
+                // One that has been closed is not written to: its client has learned of it with its answer.
+                conn = Some(client).filter(|client| number.is_multiple_of(2) && client.stands());
+            }
+            seen
+        })
+    };
+    (0..24).map(client).collect()
+}
+
+#[test]
+fn a_process_is_replaced_twice_under_load_and_no_request_ends_at_the_door() {
+    let caches = [cache(|_| Act::Say(hit("value"))), cache(|_| Act::Say(hit("value")))];
+    let (origin, (discovery, _say, _calls)) = (no_origin(), quiet());
+    let (known, kept) = (trio([&caches[0], &caches[1]], &origin), folder());
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let mut old = successor(&listener, discovery, &known, &kept);
+    let stop = Arc::new(AtomicBool::new(false));
+    let clients = clients(address, &stop);
+    for _ in 0..2 {
+        old.until_some("served.read");
+        // Out by hand at one of them: the other knows within a second.
+        let name = "s-1";
+        assert_eq!(old.call("PUT", &format!("/cache-servers/disable/{name}")).0, 200);
+        let new = successor(&listener, discovery, &known, &kept);
+        assert_eq!(new.figure("cache_servers_excluded"), 1, "it knows before it says yes");
+        assert_eq!(new.call("GET", "/ready").0, 200);
+        assert_eq!(new.call("PUT", &format!("/cache-servers/enable/{name}")).0, 200);
+        let began = Instant::now();
+        old.until("cache_servers_excluded", 0);
+        assert!(began.elapsed() < Duration::from_secs(1));
+        old.terminate();
+        assert_eq!(old.wait().code(), Some(0));
+        new.until_some("served.read");
+        old = new;
+    }
+    stop.store(true, Ordering::Relaxed);
+    let seen: Vec<_> = clients.into_iter().map(|client| client.join().unwrap()).collect();
+    let (served, door) =
+        (seen.iter().map(|s| s.served).sum::<usize>(), seen.iter().map(|s| s.door).sum::<usize>());
+    let other: Vec<_> = seen.iter().flat_map(|s| &s.other).collect();
+    assert_eq!((door, other.len()), (0, 0), "{served} served, first {:?}", other.first());
+    assert!(served > 100, "{served}");
+}
+
+#[test]
+fn a_predecessor_that_is_stopped_dead_or_never_was_holds_nobody_up() {
+    let cache = cache(|_| Act::Say(hit("value")));
+    let (origin, (discovery, _say, _calls)) = (no_origin(), quiet());
+    let (known, kept) = (pair(cache.address, origin.address), folder());
+    let beside = kept.join("spardeal-beside");
+    std::fs::create_dir_all(&beside).unwrap();
+    for (file, text) in [("00000000000000000001-1.lock", ""), ("00000000000000000001-1", "1 serving 9 9 9\n")]
+    {
+        std::fs::write(beside.join(file), text).unwrap();
+    }
+    for (file, text) in [("noise", "x"), ("1-.lock", ""), ("9999999999999999999999-1.lock", "")] {
+        std::fs::write(beside.join(file), text).unwrap();
+    }
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let old = successor(&listener, discovery, &known, &kept);
+    assert_eq!(old.call("GET", "/ready").0, 200);
+    assert!(!beside.join("00000000000000000001-1").exists(), "what a dead process left is removed");
+    old.kill("STOP");
+    let mut new = successor(&listener, discovery, &known, &kept);
+    let began = Instant::now();
+    assert_eq!(new.call("GET", "/ready").0, 200);
+    assert!(began.elapsed() < Duration::from_secs(3), "{:?}", began.elapsed());
+    drop(old);
+    // Alone again it drains as any other: those who come meanwhile are served.
+    assert_eq!(Client::connect(listener.local_addr().unwrap()).ask(&get("aa", "1")).unwrap(), "value");
+    new.terminate();
+    assert_eq!(Client::connect(listener.local_addr().unwrap()).ask(&get("aa", "2")).unwrap(), "value");
+    assert_eq!(new.wait().code(), Some(0));
+    let left = std::fs::read_dir(&beside).unwrap().flatten().filter(|e| e.file_name() != "noise").count();
+    assert!(left <= 2, "its files go with it: {left}");
+}
+
+#[test]
+fn what_is_passed_on_as_the_clients_socket_and_is_none_is_one_line_and_exit_code_2() {
+    let plain = TcpListener::bind("127.0.0.1:0").unwrap();
+    let connected = TcpStream::connect(plain.local_addr().unwrap()).unwrap();
+    let udp = std::net::UdpSocket::bind("127.0.0.1:0").unwrap();
+    let sockets = [Some(OwnedFd::from(connected)), Some(OwnedFd::from(udp)), None];
+    for (socket, number) in sockets.into_iter().zip(["4", "4", "77"]).chain([(None, "four"), (None, "0")]) {
+        let (discovery, _say, _calls) = quiet();
+        let path = config_file(&config(discovery, &listing(1, true, &[]), 256, settings()));
+        let run = std::process::Command::new("/bin/sh")
+            .arg("-c")
+            .arg(format!("exec 4<&0 </dev/null; exec {}", env!("CARGO_BIN_EXE_spardeal-node")))
+            .env("ROUTER_CONFIG", &path)
+            .env("ROUTER_LISTEN_FD", number)
+            .stdin(socket.map_or_else(Stdio::null, Stdio::from))
+            .output()
+            .unwrap();
+        assert_eq!(run.status.code(), Some(2), "{number}");
+        let lines = String::from_utf8_lossy(&run.stderr).into_owned();
+        assert!(lines.lines().count() == 1 && lines.contains("ROUTER_LISTEN_FD"), "{lines}");
+        std::fs::remove_file(path).unwrap();
+    }
+}
--- a/crates/stonevane-node/tests/node/stand_in.rs
+++ b/crates/stonevane-node/tests/node/stand_in.rs
@@ -365,6 +365,15 @@
         found.and_then(serde_json::Value::as_u64).unwrap_or_else(|| panic!("no {name} in {body}"))
     }
 
+    /// Waits until a figure is more than 0.
+    pub fn until_some(&self, name: &str) {
+        let end = std::time::Instant::now() + LONG;
+        while self.figure(name) == 0 {
+            assert!(std::time::Instant::now() < end, "{name} stays 0");
+            std::thread::sleep(Duration::from_millis(5));
+        }
+    }
+
     /// Waits until a figure has a value.
     pub fn until(&self, name: &str, is: u64) {
         let end = std::time::Instant::now() + LONG;
@@ -385,9 +394,7 @@
     }
 
     pub fn client(&self) -> Client {
-        let stream = TcpStream::connect(self.address).unwrap();
-        stream.set_read_timeout(Some(LONG)).unwrap();
-        Client { out: stream.try_clone().unwrap(), input: BufReader::new(stream) }
+        Client::connect(self.address)
     }
 
     /// The memory that it holds, in KiB.
@@ -401,7 +408,7 @@
         self.kill("TERM");
     }
 
-    fn kill(&self, signal: &str) {
+    pub fn kill(&self, signal: &str) {
         let kill = format!("kill -{signal} {}", self.child.id());
         assert!(Command::new("/bin/sh").arg("-c").arg(kill).status().unwrap().success());
     }
@@ -440,6 +447,20 @@
 }
 
 impl Client {
+    pub fn connect(address: SocketAddr) -> Client {
+        let stream = TcpStream::connect(address).unwrap();
+        stream.set_read_timeout(Some(LONG)).unwrap();
+        Client { out: stream.try_clone().unwrap(), input: BufReader::new(stream) }
+    }
+
+    /// Whether the node has not ended it.
+    pub fn stands(&self) -> bool {
+        self.out.set_nonblocking(true).unwrap();
+        let stands = matches!(self.out.peek(&mut [0]), Err(e) if e.kind() == std::io::ErrorKind::WouldBlock);
+        self.out.set_nonblocking(false).unwrap();
+        stands
+    }
+
     pub fn send(&mut self, bytes: &[u8]) {
         self.out.write_all(bytes).unwrap();
     }
--- a/crates/stonevane-sim/src/world.rs
+++ b/crates/stonevane-sim/src/world.rs
@@ -498,6 +498,7 @@
             store: false,
             copies: false,
             others: 0,
+            replaced: false,
             excluded: Vec::new(),
         };
         self.state(node, "starting");
@@ -553,7 +554,10 @@
             }
             let Some(output) = outputs.pop_front() else { break };
             match output {
-                Output::Write(id, bytes) => self.node_writes(node, id, &bytes, &mut outputs),
+                // A simulated client that hears of the end behind its answer hears of it a moment later.
+                Output::Last(id, bytes) | Output::Write(id, bytes) => {
+                    self.node_writes(node, id, &bytes, &mut outputs)
+                }
                 Output::Ask(id, bytes) => {
                     if self.drained(node, id, &mut outputs) {
                         self.node_writes(node, id, &bytes, &mut outputs);
@@ -600,6 +604,7 @@
                         }
                     }
                 }
+                Output::Succeeded => {}
                 Output::Draining => {
                     self.nodes[node].listens = false;
                     let backlog = std::mem::take(&mut self.nodes[node].backlog);
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -73,8 +73,13 @@
 impl Policy {
     /// A balancer that knows its settings and nothing else yet.
     pub fn new(settings: Settings, seed: u64) -> Self {
-        let mut policy =
-            Policy { rng: Random::new(seed), level: LEVEL.1, repeats: REPEATS.1, ..Policy::default() };
+        let mut policy = Policy {
+            rng: Random::new(seed),
+            level: LEVEL.1,
+            part: 1.0,
+            repeats: REPEATS.1,
+            ..Policy::default()
+        };
         policy.adopt(settings, &[]);
         // Calls of an earlier life of this balancer may still run: the gate opens gradually.
         policy.gate.limit = policy.gate_out() / 2.0;
@@ -122,6 +127,12 @@
             }
             Event::Timer(_) => self.wakes.timer_came(now + self.settings.tick),
             Event::OriginShut { lasts } => self.origin_shut(lasts, out),
+            Event::Part(part) => self.part = part.clamp(0.05, 1.0),
+            Event::Ending => {
+                self.ending = true;
+                let all: Vec<_> = self.held.keys().copied().collect();
+                all.into_iter().for_each(|id| self.end(id, out));
+            }
             Event::Settings { settings, tenants } => self.adopt(*settings, &tenants),
             Event::Exclude { server, out: excluded } => self.exclude(server, excluded, out),
             Event::PeerMessage { .. } | Event::Probed { .. } => {}
@@ -165,7 +176,7 @@
         self.recent.push_front(r.key);
         self.recent.truncate(HOT);
         let (ends, aim_at) = (held.ends, self.useful_until(&held));
-        let admitted = self.admit(&mut held, r.tenant) && self.now < ends;
+        let admitted = self.admit(&mut held, r.tenant) && self.now < ends && !self.ending;
         self.held.insert(r.id, held);
         if !admitted {
             return self.end(r.id, out);
@@ -302,7 +313,7 @@
 
     /// Level and depth of the bucket of attempts at a server, as cold as it is.
     fn cold_bucket(&self, s: &Server) -> (f64, f64) {
-        let rate = COLD_RATE * self.warmth(s) * self.share() * self.weight(s) / self.total / 1e6;
+        let rate = self.part * COLD_RATE * self.warmth(s) * self.share() * self.weight(s) / self.total / 1e6;
         let level = s.cold.0 - rate * (self.now - s.cold.1) as f64;
         (level.max(0.0), (rate * self.settings.fall_after as f64 / 2.0).max(1.0))
     }
@@ -336,17 +347,19 @@
     /// The ceiling of the outstanding cap. Against a rate at which the note's default, reached in an ordinary
     /// second, holds up what the origin has room for (Little's law).
     fn gate_out(&self) -> f64 {
-        (self.share() * GATE_OUT.1).max(GATE_OUT.0)
+        (self.share() * GATE_OUT.1).max(GATE_OUT.0) * self.part
     }
 
     /// Whether the outstanding cap and the windowed tally let one more call through.
     fn gate_open(&mut self, call: Call) -> bool {
         let window = self.aim as f64 * GATE_WINDOW;
-        let tally = (self.share() * GATE_RATE.0).max(GATE_RATE.1) * window / 1e6;
+        let tally = (self.share() * GATE_RATE.0).max(GATE_RATE.1) * self.part * window / 1e6;
         self.gate.roll(self.now, window as Micros);
-        let g = &self.gate;
+        // A part of the share may have become another process's since the limit was found.
+        let (g, most) = (&self.gate, self.gate_out());
         let room = |count: u32, limit: f64| f64::from(count + 1) <= limit.max(1.0);
-        let open = |i: usize, part: f64| room(g.out[i], g.limit * part) && room(g.tally[i], tally * part);
+        let open =
+            |i: usize, part: f64| room(g.out[i], g.limit.min(most) * part) && room(g.tally[i], tally * part);
         let open = open(0, 1.0) && (call == Call::Write || open(1, GATE_FETCHES));
         self.gate.pressed.add(f64::from(u8::from(!open)), 1.0);
         open
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -375,6 +375,11 @@
         /// For each tenant of these, its position in the last ones, if it had one.
         tenants: Vec<Option<usize>>,
     },
+    /// This balancer's part of its own share of the origin and of cold servers: 1, but while another process of the same
+    /// balancer has the rest.
+    Part(f64),
+    /// The balancer is about to end: what is owed is to be answered now.
+    Ending,
     /// A person takes a cache server out, or puts it back. Neither counts: twice out and once back is back.
     Exclude {
         /// The server, listed or not.
--- a/src/state.rs
+++ b/src/state.rs
@@ -32,6 +32,10 @@
     /// This balancer's equal part of all quotas, 0 where there are none.
     pub(crate) quota_share: f64,
     pub(crate) level: f64,
+    /// This process's part of what is the balancer's.
+    pub(crate) part: f64,
+    /// It is about to end, and begins nothing any more.
+    pub(crate) ending: bool,
     /// Signs of overload in the attempts of the last reviews.
     pub(crate) strain: Ratio,
     pub(crate) repeats: f64,
--- a/tests/service.rs
+++ b/tests/service.rs
@@ -190,3 +190,36 @@
         }
     }
 }
+
+#[test]
+fn two_processes_of_a_balancer_have_one_balancers_share_of_the_origin_and_of_cold_servers() {
+    // Calls that go out at once, from so many processes that each have their part.
+    let calls = |parts: &[f64]| -> usize {
+        let processes = parts.iter().map(|part| {
+            let mut node = Node::new(settings(), 3);
+            node.event(Event::Part(*part));
+            (1..200).map(|id| sends(&node.request(write(id, 2)))).sum::<usize>()
+        });
+        processes.sum()
+    };
+    let one = calls(&[1.0]);
+    assert!(one > 4, "{one}");
+    for parts in [&[0.5, 0.5][..], &[0.9, 0.1], &[0.25, 0.25, 0.25, 0.25]] {
+        let all = calls(parts);
+        assert!(all <= one + parts.len() && all > 0, "{all} calls by {parts:?}, {one} by one");
+    }
+}
+
+#[test]
+fn a_balancer_that_is_about_to_end_answers_what_it_owes_and_begins_nothing() {
+    let mut node = Node::new(settings(), 3);
+    for id in 1..40 {
+        node.request(if id % 2 == 0 { write(id, 2) } else { read(id, id) });
+    }
+    node.event(Event::Ending);
+    for id in 1..40 {
+        assert!(refused(&node.actions, id) || failed(&node.actions, id), "request {id} has no answer");
+    }
+    let after = node.request(read(50, 50));
+    assert!(refused(&after, 50) && sends(&after) == 0);
+}
