Pass values over 64 KiB on as they come, within a bounded buffer

An answer of more than 64 KiB is passed on through 128 KiB of the budget. Small answers that are there already no longer wait behind long ones.

--- a/crates/stonevane-codec/src/resp.rs
+++ b/crates/stonevane-codec/src/resp.rs
@@ -71,6 +71,31 @@
     scan.length(b'$', usize::MAX).ok()??
 }
 
+/// Where an answer's value begins and how long it is stated to be, where the answer is an array of three that begins with
+/// a bulk string; `None` while that is not all there, or for any other answer.
+pub fn value_begins(buffer: &[u8]) -> Option<(usize, usize)> {
+    let mut scan = Scan { bytes: buffer, at: 0, longest: usize::MAX };
+    let count = scan.length(b'*', MAX_WORDS).ok()???;
+    let length = scan.length(b'$', usize::MAX).ok()???;
+    (count == 3).then_some((scan.at, length))
+}
+
+/// What stands behind the value in such an answer is whole, or can't be understood; its length where it is whole.
+pub fn value_ends(buffer: &[u8], longest: usize) -> Result<Option<usize>, Malformed> {
+    let mut scan = Scan { bytes: buffer, at: 0, longest };
+    match buffer.get(..2) {
+        None => return Ok(None),
+        Some(b"\r\n") => scan.at = 2,
+        Some(_) => return Err(Malformed("bulk string not ended")),
+    }
+    for _ in 0..2 {
+        if scan.bulk()?.is_none() {
+            return Ok(None);
+        }
+    }
+    Ok(Some(scan.at))
+}
+
 struct Scan<'a> {
     bytes: &'a [u8],
     at: usize,
--- a/crates/stonevane-core/src/clients/session.rs
+++ b/crates/stonevane-core/src/clients/session.rs
@@ -8,6 +8,8 @@
 
 use super::Limits;
 use crate::memory::Share;
+use crate::reply::ConnId;
+use crate::servers::PASSAGE;
 use crate::timers::Armed;
 
 /// Requests of one connection that are answered at the same time; more wait unread. The first figure holds
@@ -32,6 +34,29 @@
     },
     /// It waits for those before it.
     Answered(Bytes, Option<Share>),
+    /// Its value is passed on as it comes.
+    Passing(Passage),
+}
+
+/// A value that is passed on as it comes.
+#[derive(Debug)]
+pub struct Passage {
+    /// Where it comes from.
+    pub conn: ConnId,
+    /// The id of its request, and where that is counted.
+    pub id: Bytes,
+    pub counted: usize,
+    /// What has come and is not being written yet.
+    parts: VecDeque<Bytes>,
+    /// What has come and is not written.
+    held: usize,
+    /// Whether any of it has been given out for writing.
+    begun: bool,
+    /// Nothing more comes.
+    done: bool,
+    /// It has broken off.
+    pub broken: bool,
+    _share: Option<Share>,
 }
 
 /// A connection.
@@ -68,6 +93,10 @@
     pub noted: Option<Micros>,
     /// There was no room for more requests when it was looked at last.
     full: bool,
+    /// How much of what is being written is of a passage that goes on.
+    passed: usize,
+    /// Passages that are written to their end.
+    ended: Vec<Passage>,
 }
 
 impl Session {
@@ -91,6 +120,8 @@
             lingers: false,
             noted: None,
             full: false,
+            passed: 0,
+            ended: Vec::new(),
         }
     }
 
@@ -191,8 +222,95 @@
         self.longest = self.longest.max(bytes.len());
         match std::mem::replace(place, Slot::Answered(bytes, share)) {
             Slot::Owed { id, .. } => Some(id),
-            Slot::Answered(..) => None,
+            Slot::Answered(..) | Slot::Passing(_) => None,
+        }
+    }
+
+    fn passage(&mut self, slot: u64) -> Option<&mut Passage> {
+        match self.slots.get_mut(slot.checked_sub(self.first)? as usize)? {
+            Slot::Passing(passage) => Some(passage),
+            _ => None,
+        }
+    }
+
+    /// The answer of a slot comes in pieces, from a connection; `head` goes before the first.
+    pub fn begin(
+        &mut self,
+        slot: u64,
+        conn: ConnId,
+        counted: usize,
+        head: Bytes,
+        share: Option<Share>,
+    ) -> bool {
+        let place = slot.checked_sub(self.first).and_then(|at| self.slots.get_mut(at as usize));
+        let Some(place @ Slot::Owed { .. }) = place else { return false };
+        let passage = |id| Passage {
+            conn,
+            id,
+            counted,
+            held: head.len(),
+            parts: VecDeque::from([head]),
+            begun: false,
+            done: false,
+            broken: false,
+            _share: share,
+        };
+        if let Slot::Owed { id, .. } = place {
+            *place = Slot::Passing(passage(std::mem::take(id)));
+        }
+        true
+    }
+
+    /// A piece has come; whether there is room for more.
+    pub fn pass(&mut self, slot: u64, piece: Bytes, end: bool) -> bool {
+        let Some(passage) = self.passage(slot) else { return false };
+        passage.held += piece.len();
+        if !piece.is_empty() {
+            passage.parts.push_back(piece);
+        }
+        if end {
+            passage.parts.push_back(Bytes::from_static(b"\r\n"));
+            passage.done = true;
         }
+        passage.held < PASSAGE / 2
+    }
+
+    /// Whether there is room for a piece.
+    pub fn passes(&mut self, slot: u64) -> bool {
+        self.passage(slot).is_some_and(|passage| passage.held < PASSAGE / 2)
+    }
+
+    /// The first answer's passage.
+    pub fn front(&self) -> Option<&Passage> {
+        match self.slots.front() {
+            Some(Slot::Passing(passage)) => Some(passage),
+            _ => None,
+        }
+    }
+
+    /// No more comes of a passage that is not at its end: takes it back where its client has seen nothing of it.
+    pub fn take_back(&mut self, slot: u64, answer: Bytes) -> Option<Passage> {
+        let at = slot.checked_sub(self.first)? as usize;
+        match self.slots.get(at)? {
+            Slot::Passing(passage) if !passage.begun => {}
+            _ => return None,
+        }
+        match std::mem::replace(self.slots.get_mut(at)?, Slot::Answered(answer, None)) {
+            Slot::Passing(passage) => Some(passage),
+            _ => None,
+        }
+    }
+
+    /// No more comes of a passage of which its client has seen a part.
+    pub fn breaks(&mut self, slot: u64) {
+        if let Some(passage) = self.passage(slot) {
+            passage.broken = true;
+        }
+    }
+
+    /// Passages that have been written to their end since this was asked last.
+    pub fn take_ended(&mut self) -> Vec<Passage> {
+        std::mem::take(&mut self.ended)
     }
 
     /// What is to be written now: all answers whose turn has come.
@@ -202,12 +320,31 @@
         }
         let (mut whole, mut shares) = (Bytes::new(), Vec::new());
         let mut together = BytesMut::new();
-        while whole.len().max(together.len()) < TOGETHER
-            && matches!(self.slots.front(), Some(Slot::Answered(..)))
-        {
-            let Some(Slot::Answered(bytes, share)) = self.slots.pop_front() else { break };
-            self.first += 1;
-            shares.extend(share);
+        while whole.len().max(together.len()) < TOGETHER {
+            let bytes = match self.slots.front_mut() {
+                Some(Slot::Passing(passage)) => match passage.parts.pop_front() {
+                    Some(bytes) => {
+                        passage.begun = true;
+                        self.passed += bytes.len();
+                        bytes
+                    }
+                    None if passage.done => {
+                        if let Some(Slot::Passing(passage)) = self.slots.pop_front() {
+                            self.ended.push(passage);
+                        }
+                        (self.first, self.passed) = (self.first + 1, 0);
+                        continue;
+                    }
+                    None => break,
+                },
+                Some(Slot::Answered(..)) => {
+                    let Some(Slot::Answered(bytes, share)) = self.slots.pop_front() else { break };
+                    self.first += 1;
+                    shares.extend(share);
+                    bytes
+                }
+                _ => break,
+            };
             // One that goes alone is not copied.
             match (whole.is_empty(), together.is_empty()) {
                 (true, true) => whole = bytes,
@@ -231,6 +368,10 @@
     /// What was being written is written.
     pub fn flushed(&mut self, now: Micros) {
         (self.writing, self.idle_since) = (None, now);
+        let passed = std::mem::take(&mut self.passed);
+        if let Some(Slot::Passing(passage)) = self.slots.front_mut() {
+            passage.held -= passed.min(passage.held);
+        }
     }
 
     /// Whether anything is owed.
--- a/crates/stonevane-core/src/memory.rs
+++ b/crates/stonevane-core/src/memory.rs
@@ -78,6 +78,11 @@
         if self.waiting.is_empty() { self.take(self.units(bytes)) } else { None }
     }
 
+    /// A part for bytes that are there already: those who wait for theirs go on waiting.
+    pub fn take_now(&mut self, bytes: usize) -> Option<Share> {
+        self.take(self.units(bytes))
+    }
+
     /// A connection waits for a part for some bytes; [`Memory::granted`] gives it.
     pub fn wait(&mut self, conn: ConnId, bytes: usize) {
         self.waiting.push_back((conn, self.units(bytes)));
--- a/crates/stonevane-core/src/node.rs
+++ b/crates/stonevane-core/src/node.rs
@@ -53,6 +53,8 @@
 const RESTED: Micros = 3_000;
 /// For so long after new settings, clients may name what the last ones had: 1.2 s, and the slack of all limits on sockets.
 const SETTLES: Micros = 1_250_000;
+/// A value that is being passed on, and of which nothing more comes for so long though there is room for it, is broken.
+const STALLED: Micros = 4_000_000;
 /// The longest value that a server's answer may hold.
 const MAX_ANSWER: usize = 4 * 1024 * 1024;
 
@@ -203,6 +205,12 @@
     out: Outputs,
 }
 
+/// Whether a value that is passed on has room with its client; true for what is not passed on.
+fn passes(clients: &mut Clients, conn: &Conn) -> bool {
+    let Some((client, slot)) = conn.to else { return true };
+    clients.sessions.get_mut(&client).is_none_or(|session| session.passes(slot))
+}
+
 impl Core<Honest> {
     /// A node that knows the list it last had. Its first outputs come with the first input.
     pub fn new(now: Micros, setup: Setup) -> Core {
@@ -304,7 +312,8 @@
         let (reads, paused) = if let Some(session) = self.clients.sessions.get_mut(&id) {
             (session.reads(memory), &mut session.paused)
         } else if let Some(conn) = self.pool.get_mut(id) {
-            (conn.reads(), &mut conn.paused)
+            let reads = if passes(&mut self.clients, conn) { conn.reads() } else { 0 };
+            (reads, &mut conn.paused)
         } else {
             return 0;
         };
@@ -547,6 +556,8 @@
                 }
                 self.arm(id);
             }
+            Read::Begins(length) => self.begins(id, length),
+            Read::Piece(piece, last, end) => self.piece(id, piece, last, end),
             Read::Answer(reply) => self.replied(id, reply),
             Read::Spoilt => self.spoilt(id),
             Read::Unasked => self.lost(id),
@@ -590,6 +601,10 @@
             conn.granted(share, self.longest, self.now + self.half_told);
             self.arm(id);
             self.resume(id);
+            // What is there may be enough to begin.
+            if self.pool.get(id).is_some_and(|conn| conn.state == State::Reading) {
+                self.bytes(id, &[]);
+            }
         }
     }
 
@@ -615,6 +630,10 @@
         if conn.armed.due(conn.limit, self.now, id, &mut self.timers) {
             match (conn.state, conn.attempt) {
                 (State::Reading, _) => self.spoilt(id),
+                (State::Passing, _) => {
+                    self.out.push_back(Output::Close(id));
+                    self.lost(id);
+                }
                 (State::Idle, None) => self.close_server(id),
                 (State::Resting, Some(key)) => {
                     (conn.state, conn.limit) = (State::Idle, None);
@@ -640,8 +659,13 @@
         if let Some(conn) = self.pool.get_mut(id)
             && conn.paused
             && conn.reads() > 0
+            && passes(&mut self.clients, conn)
         {
             conn.paused = false;
+            if conn.state == State::Passing {
+                conn.limit = Some(self.now + STALLED);
+                conn.armed.arm(conn.limit, id, &mut self.timers);
+            }
             self.out.push_back(Output::Resume(id));
         }
     }
@@ -667,6 +691,12 @@
         if session.wants(memory) {
             self.memory.wait(id, 2 * MAX_VALUE);
         }
+        let from = session.front().map(|passage| passage.conn);
+        for passage in session.take_ended() {
+            self.clients.ids.remove(&passage.id);
+            self.figures.class(passage.counted).served += 1;
+            self.owed -= 1;
+        }
         if session.broken && !session.owes() && !session.lingers {
             session.lingers = true;
             self.out.push_back(Output::Linger(id));
@@ -677,6 +707,8 @@
         }
         let limit = session.limit(memory, &self.clients.limits);
         session.armed.arm(limit, id, &mut self.timers);
+        from.into_iter().for_each(|conn| self.resume(conn));
+        let Some(session) = self.clients.sessions.get_mut(&id) else { return };
         if self.phase == Phase::Draining && session.between() && (session.first > 0 || !self.succeeded) {
             self.part(id);
         }
@@ -711,6 +743,16 @@
         let Some(session) = self.clients.remove(id) else { return };
         self.memory.forget(id);
         for slot in session.slots {
+            if let Slot::Passing(passage) = slot {
+                self.clients.ids.remove(&passage.id);
+                let counts = self.figures.class(passage.counted);
+                *(if passage.broken { &mut counts.failed } else { &mut counts.left }) += 1;
+                self.owed -= 1;
+                if self.pool.get(passage.conn).is_some_and(|conn| conn.to.is_some()) {
+                    self.close_server(passage.conn);
+                }
+                continue;
+            }
             if let Slot::Owed { request, id } = slot {
                 if !self.faults.plays(Mutant::LeakId) {
                     self.clients.ids.remove(&id);
@@ -804,7 +846,7 @@
     fn answer(&mut self, id: RequestId, says: Final) {
         let Some(open) = self.open.get(&id).filter(|open| !open.over) else { return };
         // Forced by memory: an answer that there is no room for is not passed on, and tells as much.
-        let (says, share) = match self.memory.try_take(says.size()) {
+        let (says, share) = match self.memory.take_now(says.size()) {
             Some(share) => (says, Some(share)),
             None => (Final::Failed, None),
         };
@@ -1030,6 +1072,73 @@
         self.run_events();
     }
 
+    /// A long value has begun to come, and there is memory for its passage: its request has been served, as far as other
+    /// attempts and time limits go.
+    fn begins(&mut self, id: ConnId, length: usize) {
+        let Some(key) = self.pool.get(id).and_then(|conn| conn.attempt) else { return };
+        let open = self.open.get(&key.0).filter(|open| !open.over);
+        let Some((client, slot, counted)) = open.map(|open| (open.client, open.slot, open.counted)) else {
+            self.close_server(id);
+            return self.end(key, Status::Cancelled);
+        };
+        self.heard(key);
+        let share = self.pool.get_mut(id).and_then(|conn| conn.begin((client, slot)));
+        let head = format!("${length}\r\n").into();
+        let session = self.clients.sessions.get_mut(&client);
+        if !session.is_some_and(|session| session.begin(slot, id, counted, head, share)) {
+            self.close_server(id);
+        }
+        self.end_with(key, Reply::bare(Status::Served, true));
+        self.run_events();
+        if let Some(conn) = self.pool.get_mut(id) {
+            let Read::Piece(piece, last, end) = conn.piece(self.longest) else { return };
+            self.piece(id, piece, last, end);
+        }
+    }
+
+    /// A piece of a value that is passed on.
+    fn piece(&mut self, id: ConnId, piece: Bytes, last: bool, end: Option<bool>) {
+        let Some(conn) = self.pool.get_mut(id) else { return };
+        let (to, server) = (conn.to, conn.server);
+        let session = to.and_then(|(client, slot)| Some((self.clients.sessions.get_mut(&client)?, slot)));
+        // What stands behind a value has room always.
+        let room = session.is_none_or(|(session, slot)| session.pass(slot, piece, last)) || last;
+        conn.limit = room.then_some(self.now + STALLED);
+        if last {
+            conn.to = None;
+        }
+        self.arm(id);
+        if let Some(keep) = end {
+            self.pool.answered(id, false);
+            match keep {
+                true => self.release(id, server),
+                false => self.close_server(id),
+            }
+        }
+        if let Some((client, _)) = to {
+            self.client(client);
+        }
+    }
+
+    /// A value that was being passed on has broken off. A client that has seen a part of it can tell by the end of its
+    /// connection alone; one that has not is told.
+    fn broke(&mut self, client: ConnId, slot: u64) {
+        let Some(session) = self.clients.sessions.get_mut(&client) else { return };
+        match session.take_back(slot, Bytes::from_static(b"-ERR failed\r\n")) {
+            Some(passage) => {
+                self.clients.ids.remove(&passage.id);
+                self.figures.class(passage.counted).failed += 1;
+                self.owed -= 1;
+                self.client(client);
+            }
+            None => {
+                session.breaks(slot);
+                self.out.push_back(Output::Close(client));
+                self.client_gone(client);
+            }
+        }
+    }
+
     /// The server of an attempt lives.
     fn heard(&mut self, key: AttemptKey) {
         if let Some(attempt) = self.attempts.get(&key)
@@ -1055,6 +1164,10 @@
         let (written, attempt) = (conn.state == State::Reading, conn.attempt);
         // Counted when a request is written, which is still to come where it rests.
         let kept = conn.carried + u64::from(conn.state == State::Resting) > 1;
+        if let Some((client, slot)) = conn.to {
+            self.close_server(id);
+            return self.broke(client, slot);
+        }
         let torn = self.faults.plays(Mutant::ServeTorn).then(|| conn.torn()).flatten();
         self.close_server(id);
         let Some(key) = attempt else { return };
--- a/crates/stonevane-core/src/servers/conn.rs
+++ b/crates/stonevane-core/src/servers/conn.rs
@@ -9,7 +9,7 @@
 
 use super::{cache, origin};
 use crate::memory::Share;
-use crate::reply::{AttemptKey, Broken, Reply};
+use crate::reply::{AttemptKey, Broken, ConnId, Reply};
 use crate::request::Command;
 use crate::timers::Armed;
 
@@ -17,6 +17,10 @@
 const PIECE: usize = 4096;
 /// Read at once, where there is memory for it.
 const LONG_PIECE: usize = 64 * 1024;
+/// The buffer of a value that is passed on: a piece that is being written and one that comes meanwhile.
+pub const PASSAGE: usize = 2 * LONG_PIECE;
+/// The longest value that is passed on.
+const LONGEST_PASSED: usize = 64 * 1024 * 1024;
 
 /// What is spoken with a server.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -53,6 +57,8 @@
     Writing,
     /// Its answer is awaited.
     Reading,
+    /// Its answer's value is passed on to a client as it comes.
+    Passing,
 }
 
 /// What came of some bytes.
@@ -65,6 +71,11 @@
     Spoilt,
     /// Bytes that answer nothing.
     Unasked,
+    /// The head of a long value, so long, which is to be passed on; there is memory for it.
+    Begins(usize),
+    /// A piece of that value; whether it is the last; and, where what stands behind it has come too, whether the connection
+    /// can be used again.
+    Piece(Bytes, bool, Option<bool>),
 }
 
 /// A connection.
@@ -83,6 +94,11 @@
     pub armed: Armed,
     /// It was asked whether it may be read, and may not.
     pub paused: bool,
+    /// Where its value goes: the client, and the place of the answer there.
+    pub to: Option<(ConnId, u64)>,
+    /// What of the value is still to come, and whether the connection may be used afterwards.
+    left: usize,
+    keeps: bool,
     buffer: BytesMut,
     share: Option<Share>,
     waits: bool,
@@ -108,6 +124,9 @@
             limit: Some(limit),
             armed: Armed::default(),
             paused: false,
+            to: None,
+            left: 0,
+            keeps: false,
             buffer: BytesMut::new(),
             share: None,
             waits: false,
@@ -120,6 +139,7 @@
             (State::Opening | State::Writing, _) => 0,
             _ if self.waits => 0,
             (_, Some(_)) => LONG_PIECE,
+            (State::Passing, None) => LONG_PIECE,
             (_, None) => PIECE,
         }
     }
@@ -146,11 +166,21 @@
         half_told: Micros,
         keeps: bool,
     ) -> Read {
+        if self.state == State::Passing {
+            self.buffer.extend_from_slice(bytes);
+            return self.piece(longest);
+        }
         if self.state != State::Reading {
             // Against a second copy or noise behind a good answer: the next request's answer could not be told from it.
             return Read::Unasked;
         }
         self.buffer.extend_from_slice(bytes);
+        if let Some((_, length, _)) = self.long() {
+            if length > LONGEST_PASSED {
+                return Read::Spoilt;
+            }
+            return if self.share.is_some() { Read::Begins(length) } else { Read::More };
+        }
         let decoded = match self.speaks {
             Speaks::Origin => origin::decode(&mut self.buffer, names, longest),
             Speaks::Cache | Speaks::Call => cache::decode(&mut self.buffer, names, longest),
@@ -175,20 +205,66 @@
         }
     }
 
+    /// Where the value of a long answer begins, how long it is, and whether the connection may be used afterwards.
+    fn long(&self) -> Option<(usize, usize, bool)> {
+        let begins = match self.speaks {
+            Speaks::Origin => origin::value_begins(&self.buffer),
+            Speaks::Cache => resp::value_begins(&self.buffer).map(|(at, length)| (at, length, true)),
+            Speaks::Call => None,
+        };
+        begins.filter(|(_, length, _)| *length > MAX_VALUE)
+    }
+
+    /// From now on the value is passed on; the memory that its buffer there takes.
+    pub fn begin(&mut self, to: (ConnId, u64)) -> Option<Share> {
+        let (at, length, keeps) = self.long()?;
+        let _ = self.buffer.split_to(at);
+        (self.state, self.to, self.attempt, self.left, self.keeps) =
+            (State::Passing, Some(to), None, length, keeps);
+        self.share.take()
+    }
+
+    /// Takes what has come of the value, and its end.
+    pub fn piece(&mut self, longest: usize) -> Read {
+        let before = self.left;
+        let piece = self.buffer.split_to(self.left.min(self.buffer.len())).freeze();
+        self.left -= piece.len();
+        if self.left > 0 {
+            return Read::Piece(piece, false, None);
+        }
+        let end = match self.speaks {
+            Speaks::Cache => match resp::value_ends(&self.buffer, longest) {
+                Ok(None) => None,
+                Ok(Some(end)) => Some(end == self.buffer.len()),
+                // The value is whole all the same.
+                Err(_) => Some(false),
+            },
+            Speaks::Origin | Speaks::Call => Some(self.buffer.is_empty()),
+        };
+        if end.is_some() {
+            self.buffer = BytesMut::new();
+        }
+        Read::Piece(piece, before > 0, end.map(|end| end && self.keeps))
+    }
+
     /// How much memory the answer wants before more of it is read. Against long answers that together are more than the
     /// memory: they wait their turn.
     pub fn wants(&mut self, longest: usize) -> Option<usize> {
-        if self.buffer.len() <= PIECE || self.share.is_some() || self.waits {
+        let long = self.long().is_some();
+        if (self.buffer.len() <= PIECE && !long) || self.share.is_some() || self.waits {
             return None;
         }
         self.waits = true;
         self.limit = None;
-        Some(2 * self.stated(longest))
+        Some(if long { PASSAGE } else { 2 * self.stated(longest) })
     }
 
     /// It has the memory that it wanted.
     pub fn granted(&mut self, share: Share, longest: usize, until: Micros) {
         (self.share, self.waits, self.limit) = (Some(share), false, Some(until));
+        if self.long().is_some() {
+            return;
+        }
         let stated = self.stated(longest);
         self.buffer.reserve(stated.saturating_sub(self.buffer.len()));
     }
--- a/crates/stonevane-core/src/servers/mod.rs
+++ b/crates/stonevane-core/src/servers/mod.rs
@@ -12,7 +12,7 @@
 
 use crate::reply::{AttemptKey, ConnId};
 
-pub use conn::{Conn, Read, Speaks, State};
+pub use conn::{Conn, PASSAGE, Read, Speaks, State};
 
 /// An idle connection to the origin is held for so long at the most. Against a table there that some nodes fill with
 /// connections they seldom use, while the others find no place: all nodes together hold no more idle ones than calls
--- a/crates/stonevane-core/src/servers/origin.rs
+++ b/crates/stonevane-core/src/servers/origin.rs
@@ -89,6 +89,14 @@
     Ok(Some(Reply { status, note, load, value, at_least: 0, keep }))
 }
 
+/// Where an answer's value begins, how long it is stated to be, and whether the connection can be used again: of a served
+/// answer whose head is all there.
+pub(super) fn value_begins(buffer: &[u8]) -> Option<(usize, usize, bool)> {
+    let head = http::head(buffer).ok()??;
+    let length = head.content_length.filter(|_| head.status == 200 && !head.chunked)?;
+    Some((head.length, length, !head.close))
+}
+
 /// The length that an answer states for its value, once it has.
 pub(super) fn stated(buffer: &[u8]) -> Option<usize> {
     http::head(buffer).ok().flatten().and_then(|head| head.content_length)
--- a/crates/stonevane-node/tests/node/service.rs
+++ b/crates/stonevane-node/tests/node/service.rs
@@ -355,3 +355,48 @@
         std::fs::remove_file(path).unwrap();
     }
 }
+
+#[test]
+fn two_hundred_slow_readers_of_4_mib_get_their_values_within_the_memory_of_a_small_node() {
+    const LONG: usize = 4 << 20;
+    let long: Arc<str> = "0123456789abcdef".repeat(LONG / 16).into();
+    let sent = long.clone();
+    let cache = cache(move |words| Act::Say(hit(if words[1].starts_with("big") { &sent } else { "small" })));
+    let (origin, (discovery, _say, _calls)) = (no_origin(), quiet());
+    let known = pair(cache.address, origin.address);
+    let settings = settings().replace("8000000", "60000000").replace("1000.0", "1000000.0");
+    let text = config(discovery, &known, 1024, &settings).replace(r#""memory_mb":16"#, r#""memory_mb":80"#);
+    let node = Node::start_text(discovery, &text);
+    for warm in 0..40 {
+        assert_eq!(node.client().ask(&get("aa", &format!("w{warm}"))).unwrap(), "small");
+    }
+    let before = node.resident_kib();
+    // They come one after the other, as far as a server's queue goes, and read nothing yet.
+    let mut readers: Vec<Client> = Vec::new();
+    let mut turned_away = 0;
+    while readers.len() < 200 {
+        let number = readers.len();
+        let mut client = node.client();
+        client.send(&get(&format!("big{number}"), &format!("r{number}-{turned_away}")));
+        let mut first = [0];
+        client.input.get_ref().peek(&mut first).unwrap();
+        match first {
+            [b'$'] => readers.push(client),
+            _ => turned_away += 1,
+        }
+        assert!(turned_away < 400, "{turned_away} turned away at {number} readers");
+    }
+    assert_eq!(node.client().ask(&get("aa", "last")).unwrap(), "small", "others are served beside them");
+    let held = node.resident_kib() - before;
+    assert!(held < 200 * 160, "{held} KiB for 200 values of 4 MiB");
+    // A node with hardly any memory passes it on as well.
+    let small = Node::start_text(discovery, &config(discovery, &known, 256, &settings));
+    for warm in 0..40 {
+        assert_eq!(small.client().ask(&get("aa", &format!("w{warm}"))).unwrap(), "small");
+    }
+    assert!(small.client().ask(&get("big", "1")).unwrap() == *long);
+    for mut reader in readers {
+        let value = reader.answer().unwrap();
+        assert!(value.len() == LONG && value == *long);
+    }
+}
--- a/crates/stonevane-node/tests/node/stand_in.rs
+++ b/crates/stonevane-node/tests/node/stand_in.rs
@@ -296,6 +296,11 @@
         Node::launch(&config(discovery, known, sockets, settings), discovery, before, |_| {})
     }
 
+    /// Starts a node with any configuration.
+    pub fn start_text(discovery: SocketAddr, text: &str) -> Node {
+        Node::launch(text, discovery, "", |_| {})
+    }
+
     /// Starts a node with a second address, and a folder that may outlive it.
     pub fn start_managed(discovery: SocketAddr, known: &str, folder: &Path) -> Node {
         Node::start_managed_with(discovery, known, folder, "", |_| {})
