Give a newcomer in a crowd its place at once, and ask a failing discovery again sooner

Ruled out: requests owed (30), memory (no refusal), CPU (0.1). Honest slow writers pause for up to 0.8 s (counted over 400), so that one in the middle of a command goes after 1.15 s without a byte and not before; whole_ms is 2,300 as a head may take 2 s.

--- a/crates/stonevane-config/src/operator.rs
+++ b/crates/stonevane-config/src/operator.rs
@@ -25,9 +25,9 @@
     fn default() -> Self {
         Clients {
             first: Duration::from_millis(2_200),
-            whole: Duration::from_millis(2_000),
+            whole: Duration::from_millis(2_300),
             written: Duration::from_millis(4_000),
-            spare: Duration::from_millis(2_000),
+            spare: Duration::from_millis(10),
             idle: Duration::from_millis(15_000),
         }
     }
--- a/crates/stonevane-core/src/clients/mod.rs
+++ b/crates/stonevane-core/src/clients/mod.rs
@@ -13,7 +13,7 @@
 use crate::reply::ConnId;
 
 pub use resp::{Asked, read, word};
-pub use session::{Over, PIECE, Session, Slot};
+pub use session::{Over, PIECE, Session, Slot, Stand};
 
 /// Time limits on clients' connections, points in time which no dribbled byte moves.
 #[derive(Debug, Clone, Copy)]
@@ -42,48 +42,51 @@
 pub struct Clients {
     pub sessions: HashMap<ConnId, Session>,
     pub limits: Limits,
-    /// Those that were served and stand idle, the longest first.
-    idle: BTreeSet<(Micros, ConnId)>,
+    /// Those that may have to give their place up, in the order of [`Stand`], the longest first.
+    standing: BTreeSet<(Stand, Micros, ConnId)>,
     /// Ids of the requests that are open. Against a client that names another's: the second is not taken. Clients
     /// choose them, so that the hash is the standard library's, which none can flood.
     pub ids: HashSet<Bytes>,
-    /// One of them is to give its place up as soon as it has stood idle for long enough.
-    pub pressed: bool,
 }
 
 impl Clients {
     /// None.
     pub fn new(limits: Limits) -> Clients {
-        let (sessions, idle, ids) = (HashMap::new(), BTreeSet::new(), HashSet::new());
-        Clients { sessions, limits, idle, ids, pressed: false }
+        let (sessions, standing, ids) = (HashMap::new(), BTreeSet::new(), HashSet::new());
+        Clients { sessions, limits, standing, ids }
     }
 
-    /// Notes whether a client stands idle, after anything has happened on its connection.
-    pub fn note_idle(&mut self, id: ConnId) {
-        let is = self.idle_since(id);
+    /// Notes how a client stands, after anything has happened on its connection.
+    pub fn note(&mut self, id: ConnId) {
         let Some(session) = self.sessions.get_mut(&id) else { return };
+        let is = session.stands();
         let was = std::mem::replace(&mut session.noted, is);
         if was != is {
-            was.map(|since| self.idle.remove(&(since, id)));
-            is.map(|since| self.idle.insert((since, id)));
+            was.map(|(stand, since)| self.standing.remove(&(stand, since, id)));
+            is.map(|(stand, since)| self.standing.insert((stand, since, id)));
         }
     }
 
     /// Takes a client out.
     pub fn remove(&mut self, id: ConnId) -> Option<Session> {
         let session = self.sessions.remove(&id)?;
-        session.noted.map(|since| self.idle.remove(&(since, id)));
+        session.noted.map(|(stand, since)| self.standing.remove(&(stand, since, id)));
         Some(session)
     }
 
-    /// Since when a client stands idle, where it does and is not being closed.
-    pub fn idle_since(&self, id: ConnId) -> Option<Micros> {
-        self.sessions.get(&id).filter(|s| s.idle() && !s.parting).map(|s| s.idle_since)
-    }
-
-    /// Who has stood idle for longest, and since when.
-    pub fn longest_idle(&self) -> Option<(Micros, ConnId)> {
-        self.idle.first().copied()
+    /// Who gives its place up for a newcomer. `silent`: a connection may be silent for so long at first. One that is
+    /// owed an answer never does.
+    pub fn gives_way(&self, now: Micros, silent: Micros) -> Option<ConnId> {
+        let stands = [
+            (Stand::Closing, 0),
+            (Stand::Silent, silent),
+            (Stand::Idle, self.limits.spare),
+            (Stand::Midway, self.limits.whole / 2),
+        ];
+        stands.into_iter().find_map(|(stand, least)| {
+            let mut first = self.standing.range((stand, 0, 0)..=(stand, Micros::MAX, ConnId::MAX));
+            first.next().filter(|(_, since, _)| since + least <= now).map(|(_, _, id)| *id)
+        })
     }
 
     /// Those that stand between requests, in the order of their ids.
--- a/crates/stonevane-core/src/clients/session.rs
+++ b/crates/stonevane-core/src/clients/session.rs
@@ -59,6 +59,19 @@
     _share: Option<Share>,
 }
 
+/// How a connection stands that may have to give its place up: the first of these goes first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Stand {
+    /// Its last answer is written.
+    Closing,
+    /// It has said nothing yet.
+    Silent,
+    /// It has been served, and is between requests.
+    Idle,
+    /// It is in the middle of a command.
+    Midway,
+}
+
 /// A connection.
 pub struct Session {
     input: BytesMut,
@@ -89,8 +102,10 @@
     pub parting: bool,
     /// Its last answer is written.
     pub lingers: bool,
-    /// Since when it is noted as idle.
-    pub noted: Option<Micros>,
+    /// When its last byte came.
+    heard: Micros,
+    /// How it is noted to stand, and since when.
+    pub noted: Option<(Stand, Micros)>,
     /// There was no room for more requests when it was looked at last.
     full: bool,
     /// How much of what is being written is of a passage that goes on.
@@ -118,6 +133,7 @@
             paused: false,
             parting: false,
             lingers: false,
+            heard: now,
             noted: None,
             full: false,
             passed: 0,
@@ -171,6 +187,7 @@
         if self.input.is_empty() && self.whole_by.is_none() {
             self.whole_by = Some(now + limits.whole);
         }
+        self.heard = now;
         self.input.extend_from_slice(bytes);
     }
 
@@ -394,6 +411,18 @@
         self.first > 0 && self.between()
     }
 
+    /// How it stands, and since when, where it may have to give its place up.
+    pub fn stands(&self) -> Option<(Stand, Micros)> {
+        match () {
+            () if self.parting => None,
+            () if self.lingers => Some((Stand::Closing, self.idle_since)),
+            () if self.owes() || self.broken => None,
+            () if !self.input.is_empty() => Some((Stand::Midway, self.heard)),
+            () if self.first == 0 => Some((Stand::Silent, self.idle_since)),
+            () => Some((Stand::Idle, self.idle_since)),
+        }
+    }
+
     /// Its earliest limit.
     pub fn limit(&self, memory: usize, limits: &Limits) -> Option<Micros> {
         let whole = self.whole_by.filter(|_| self.room(memory));
--- a/crates/stonevane-core/src/node.rs
+++ b/crates/stonevane-core/src/node.rs
@@ -426,16 +426,12 @@
         if self.phase == Phase::Starting && self.servers.values().any(|s| s.condition == Condition::Ready) {
             self.phase = Phase::Ready;
         }
-        // Connections to servers that stand idle give way to a client that wants a place.
-        if self.free() == 0
-            && let Some(idle) = self.pool.longest_idle()
-        {
+        // Connections to servers that stand idle give way to clients that want a place: beyond the part that is theirs as
+        // soon as few are left, else when none is.
+        while self.free() == 0 || self.free() < self.refusals && self.pool.len() > self.places - self.part {
+            let Some(idle) = self.pool.longest_idle() else { break };
             self.close_server(idle);
         }
-        if self.clients.sessions.len() >= self.part {
-            self.clients.pressed = true;
-        }
-        self.press();
     }
 
     fn free(&self) -> usize {
@@ -459,7 +455,6 @@
                 }
             }
             Due::Conn(id) => self.limit(id),
-            Due::Pressure => {}
             Due::Settled => self.settled(),
             Due::Sweep => {
                 let gone = self.pool.sweep(self.now);
@@ -520,9 +515,16 @@
     fn accepted(&mut self, id: ConnId) {
         self.clients.sessions.insert(id, Session::new(self.now, &self.clients.limits));
         // Against requests lost in a full table: the machine has taken a newcomer's request before the
-        // node has. An idle connection makes room for it; where all are busy it is refused at once.
+        // node has. Another makes room for it; where all are busy it is refused at once.
         if self.crowded() {
-            self.clients.pressed = true;
+            match self.clients.gives_way(self.now, self.deployment.connect_timeout) {
+                Some(other) if self.clients.sessions.get(&other).is_some_and(|session| session.lingers) => {
+                    self.out.push_back(Output::Close(other));
+                    self.client_gone(other);
+                }
+                Some(other) => self.part(other),
+                None => {}
+            }
             self.clients.sessions.entry(id).and_modify(|session| session.late = true);
         }
         self.client(id);
@@ -582,7 +584,7 @@
         if let Some(session) = self.clients.sessions.get_mut(&id) {
             session.flushed(self.now);
             session.lingers = true;
-            self.clients.note_idle(id);
+            self.clients.note(id);
         }
     }
 
@@ -712,7 +714,7 @@
         if self.phase == Phase::Draining && session.between() && (session.first > 0 || !self.succeeded) {
             self.part(id);
         }
-        self.clients.note_idle(id);
+        self.clients.note(id);
     }
 
     /// Closes a client's connection between requests, unless it has brought something meanwhile.
@@ -721,22 +723,7 @@
         if !std::mem::replace(&mut session.parting, true) {
             self.out.push_back(Output::Part(id));
         }
-        self.clients.note_idle(id);
-    }
-
-    /// Where others want a place, the client that has stood idle for longest goes, once that was long enough.
-    fn press(&mut self) {
-        if !self.clients.pressed {
-            return;
-        }
-        let Some((since, id)) = self.clients.longest_idle() else { return };
-        let spare_at = since + self.clients.limits.spare;
-        if spare_at <= self.now {
-            self.clients.pressed = false;
-            self.part(id);
-        } else if self.timers.next().is_none_or(|next| next > spare_at) {
-            self.timers.push(spare_at, Due::Pressure);
-        }
+        self.clients.note(id);
     }
 
     fn client_gone(&mut self, id: ConnId) {
--- a/crates/stonevane-core/src/timers.rs
+++ b/crates/stonevane-core/src/timers.rs
@@ -18,8 +18,6 @@
     Deadline(RequestId),
     /// A limit of a connection.
     Conn(ConnId),
-    /// A client that is idle may have to give its place up.
-    Pressure,
     /// Idle connections are looked through.
     Sweep,
     /// Connections of clients are closed from now on.
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -64,7 +64,7 @@
 /// be asked: the first, the second, and any later one. Against balancers that all ask at once: it takes a
 /// call of each in about that time, and works calls off in turn, those too that have waited for too long. Two
 /// come soon, since what it has to tell counts as told before long.
-const ASK_AGAIN: [(f64, f64); 3] = [(0.03, 0.5), (0.2, 0.4), (0.5, 1.0)];
+const ASK_AGAIN: [(f64, f64); 3] = [(0.03, 0.5), (0.2, 0.4), (0.25, 0.5)];
 /// A server put back by hand that none of its keys has come by for so long gets the next read.
 const BACK: Micros = 1_000_000;
 /// A key is hot that was asked for before among so many requests here: a part of all, whatever N is.
