Count a reload's class names once

The names of the last settings have their places already; copying and joining both lists before the check did that work twice. No change of behaviour.

--- a/crates/stonevane-core/src/node.rs
+++ b/crates/stonevane-core/src/node.rs
@@ -1363,11 +1363,8 @@
     /// Takes other settings. Clients go on naming what was for a moment: meanwhile a class that changed is held to the
     /// stricter of both its meanings, and one that was dropped keeps its own.
     fn settings(&mut self, deployment: Box<Deployment>) {
-        let mut names = self.deployment.classes.clone();
-        names.extend(
-            deployment.classes.iter().filter(|name| !self.deployment.classes.contains(name)).cloned(),
-        );
-        if self.figures.name(&names).is_none() {
+        // Those of the last settings have their places already.
+        if self.figures.name(&deployment.classes).is_none() {
             self.out.push_back(Output::Log(Note::Module("reload: too many classes since the start".into())));
             self.figures.reloads_failed += 1;
             return;
