Make room in a full table also while nobody can be taken

Since a place is given up only when a newcomer is accepted; a table that a burst has filled accepts nobody (Core::accepts), so what waited in the machine's queue waited for the crowd's whole_ms. Ruled out: closes that cross a request (no `closed` in the histories), the origin (it got them 600 ms late), CPU (the same in release at half the load: none). Now a full table has one client go as soon as somebody may be asked to (Due::Room), and a newcomer in a crowded one has as many go as it takes to win back the places kept for refusals: without that it was refused (-BUSY) beside silent ones.

--- a/crates/stonevane-core/src/clients/mod.rs
+++ b/crates/stonevane-core/src/clients/mod.rs
@@ -77,15 +77,25 @@
     /// Who gives its place up for a newcomer. `silent`: a connection may be silent for so long at first. One that is
     /// owed an answer never does.
     pub fn gives_way(&self, now: Micros, silent: Micros) -> Option<ConnId> {
+        self.ways(silent).find(|(at, _)| *at <= now).map(|(_, id)| id)
+    }
+
+    /// When the next of them may have to give its place up.
+    pub fn gives_way_at(&self, silent: Micros) -> Option<Micros> {
+        self.ways(silent).map(|(at, _)| at).min()
+    }
+
+    /// Of each way to stand the one that has stood so for longest, and from when on it may have to go.
+    fn ways(&self, silent: Micros) -> impl Iterator<Item = (Micros, ConnId)> {
         let stands = [
             (Stand::Closing, 0),
             (Stand::Silent, silent),
             (Stand::Idle, self.limits.spare),
             (Stand::Midway, self.limits.whole / 2),
         ];
-        stands.into_iter().find_map(|(stand, least)| {
+        stands.into_iter().filter_map(|(stand, least)| {
             let mut first = self.standing.range((stand, 0, 0)..=(stand, Micros::MAX, ConnId::MAX));
-            first.next().filter(|(_, since, _)| since + least <= now).map(|(_, _, id)| *id)
+            first.next().map(|(_, since, id)| (since + least, *id))
         })
     }
 
--- a/crates/stonevane-core/src/node.rs
+++ b/crates/stonevane-core/src/node.rs
@@ -188,6 +188,9 @@
     whole: Room,
     succeeded: bool,
     shared: bool,
+    /// Who gives its place up in a full table, and when somebody may have to.
+    giving: Option<ConnId>,
+    room_at: Option<Micros>,
     memory: Memory,
     /// The longest value that a server may bring.
     longest: usize,
@@ -262,6 +265,8 @@
             whole: Room { places, memory: memory.all() },
             succeeded: false,
             shared: false,
+            giving: None,
+            room_at: None,
             // Servers may hold values that are longer than what clients send through here: what bounds them is memory.
             longest: (memory.all() / 4).min(MAX_ANSWER),
             memory,
@@ -432,6 +437,7 @@
             let Some(idle) = self.pool.longest_idle() else { break };
             self.close_server(idle);
         }
+        self.make_room();
     }
 
     fn free(&self) -> usize {
@@ -455,6 +461,8 @@
                 }
             }
             Due::Conn(id) => self.limit(id),
+            // What follows any change looks for who gives a place up.
+            Due::Room => self.room_at = None,
             Due::Settled => self.settled(),
             Due::Sweep => {
                 let gone = self.pool.sweep(self.now);
@@ -519,13 +527,11 @@
         // deals connections out before the node has a table as well, which fills with the same idle ones, and its clients
         // wait there unseen while this one has room.
         if self.crowded() || self.clients.sessions.len() > self.part / 2 {
-            match self.clients.gives_way(self.now, self.deployment.connect_timeout) {
-                Some(other) if self.clients.sessions.get(&other).is_some_and(|session| session.lingers) => {
-                    self.out.push_back(Output::Close(other));
-                    self.client_gone(other);
+            // In a full table also those go whose places are kept for refusals, or this one could only be refused.
+            for _ in 0..self.refusals.saturating_sub(self.left()).max(1) {
+                if self.give_way().is_none() {
+                    break;
                 }
-                Some(other) => self.part(other),
-                None => {}
             }
             let late = self.crowded();
             self.clients.sessions.entry(id).and_modify(|session| session.late = late);
@@ -533,9 +539,42 @@
         self.client(id);
     }
 
+    /// The client whose turn it is gives its place up, if there is one.
+    fn give_way(&mut self) -> Option<ConnId> {
+        let other = self.clients.gives_way(self.now, self.deployment.connect_timeout)?;
+        if self.clients.sessions.get(&other).is_some_and(|session| session.lingers) {
+            self.out.push_back(Output::Close(other));
+            self.client_gone(other);
+        } else {
+            self.part(other);
+        }
+        Some(other)
+    }
+
+    /// A full table takes nobody, so that no newcomer can have a place made for it: one place is, as soon as somebody
+    /// may be asked to go.
+    fn make_room(&mut self) {
+        if self.shared || self.succeeded || self.accepts() || self.giving.is_some_and(|id| self.parts(id)) {
+            return;
+        }
+        self.giving = self.give_way();
+        let at = self.clients.gives_way_at(self.deployment.connect_timeout);
+        if let Some(at) = at.filter(|_| self.giving.is_none())
+            && self.room_at.is_none_or(|known| at < known)
+        {
+            self.room_at = Some(at);
+            self.timers.push(at, Due::Room);
+        }
+    }
+
     /// Whether only places for refusals are left.
     fn crowded(&self) -> bool {
-        self.part.saturating_sub(self.clients.sessions.len()).min(self.free()) < self.refusals
+        self.left() < self.refusals
+    }
+
+    /// How many more clients have a place.
+    fn left(&self) -> usize {
+        self.part.saturating_sub(self.clients.sessions.len()).min(self.free())
     }
 
     fn bytes(&mut self, id: ConnId, bytes: &[u8]) {
--- a/crates/stonevane-core/src/timers.rs
+++ b/crates/stonevane-core/src/timers.rs
@@ -18,6 +18,8 @@
     Deadline(RequestId),
     /// A limit of a connection.
     Conn(ConnId),
+    /// A client of a full table may have to give its place up.
+    Room,
     /// Idle connections are looked through.
     Sweep,
     /// Connections of clients are closed from now on.
--- a/crates/stonevane-core/tests/crowd.rs
+++ b/crates/stonevane-core/tests/crowd.rs
@@ -214,6 +214,29 @@
     assert!(many >= 0.1, "{many}");
 }
 
+/// While the table is full nobody is taken, so that no newcomer can ask for a place: those that wait with the machine
+/// must not have to wait for the crowd's whole time.
+#[test]
+fn a_table_that_a_burst_has_filled_takes_newcomers_again_by_itself() {
+    let mut it = World::new(96);
+    for _ in 0..96 {
+        it.connect();
+    }
+    assert!(!it.core.accepts());
+    it.pass(300_000);
+    assert!(it.core.accepts());
+    assert_eq!(it.parted.len(), 1, "one place is enough");
+    // Those who wait come one after another, each into the place that the one before it left free.
+    for newcomer in 0..30 {
+        assert!(it.core.accepts(), "newcomer {newcomer}");
+        let id = it.connect();
+        it.ask(id);
+        it.pass(11_000);
+        let answer = it.answered.get(&id).map(|bytes| String::from_utf8_lossy(bytes).into_owned());
+        assert!(answer.as_ref().is_some_and(|answer| answer.starts_with('$')), "{newcomer}: {answer:?}");
+    }
+}
+
 #[test]
 fn one_that_is_owed_an_answer_keeps_its_place_whoever_comes() {
     let mut it = World::new(128);
