Membership as a pure machine, its judge, and simulated fleets of it

No I/O, no clock. Datagrams of at most 256 bytes, two versions, XXH3 or keyed BLAKE3, replay window.

The judge (stonevane-audit, membership) knows processes and network and reads views: detection, accuracy, refutation, convergence, no strangers, no resurrection. stonevane fleet simulate plays fleets of 3 to 2,000 members under drawn faults, with shrinking and 13 mutants.

The daemon does not use it yet.

--- a/crates/stonevane-audit/src/lib.rs
+++ b/crates/stonevane-audit/src/lib.rs
@@ -20,10 +20,12 @@
 
 mod auditor;
 pub mod history;
+pub mod membership;
 mod report;
 mod rules;
 
 pub use auditor::Auditor;
 pub use history::{Effect, Event, HistoryError, Line, Outcome, Span, audit};
+pub use membership::{Breach, Membership, MembershipRules};
 pub use report::{Evidence, Fault, Finding, Report, Rule};
 pub use rules::{ClassRule, Kind, OriginRule, Rules, Scope, able};
--- /dev/null
+++ b/crates/stonevane-fleet/src/lib.rs
@@ -0,0 +1,34 @@
+//! Membership among the nodes of a fleet: who lives, who is suspected, who is gone, by messages that are lost, late,
+//! doubled or cut off in one direction. SWIM (Das, Gupta, Motivala, 2002) with suspicion and incarnations, and the
+//! local health of Lifeguard (Dadgar, Phillips, Currey, 2017).
+//!
+//! No I/O, no clock: bytes and time go in, bytes, the time of the next wake-up and news come out. Members are numbers of
+//! one closed list, `peers`, which is the same at every node: nobody else is heard.
+//!
+//! ```
+//! use stonevane_fleet::{Honest, Input, Machine, Outputs, Setup, State};
+//!
+//! let setup = |me| Setup { me, members: 2, seed: 7 + u64::from(me), draw: 100 + u32::from(me), ..Setup::default() };
+//! let mut members = [Machine::<Honest>::new(0, setup(0)), Machine::new(0, setup(1))];
+//! let mut outputs = Outputs::default();
+//! members[0].handle(0, Input::Wake, &mut outputs);
+//! let (to, bytes) = outputs.sends.pop_front().unwrap();
+//! members[usize::from(to)].handle(1_000, Input::Datagram(0, &bytes), &mut outputs);
+//! assert_eq!(members[1].state(0), Some(State::Alive)); // heard from itself
+//! ```
+
+mod faults;
+mod health;
+mod machine;
+mod record;
+mod spread;
+mod status;
+pub mod wire;
+
+pub use faults::{Faults, Honest, Mutant};
+pub use machine::{Input, Machine, News, Outputs, Setup};
+pub use record::{Life, Number, Record, State};
+pub use status::{Counts, MemberStatus, Status};
+
+/// Microseconds, of one monotonic clock.
+pub type Micros = u64;
--- a/crates/stonevane-sim/src/lib.rs
+++ b/crates/stonevane-sim/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod clients;
 mod discovery;
+pub mod members;
 mod plan;
 mod servers;
 mod shrink;
--- /dev/null
+++ b/crates/stonevane-sim/tests/members.rs
@@ -0,0 +1,68 @@
+//! Membership in simulated fleets: thousands of seeds hold, each mutant is found.
+#![allow(missing_docs)]
+
+use std::sync::Mutex;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use stonevane_fleet::Mutant;
+use stonevane_sim::members::{MemberOptions, MemberPlan, play, shrink_members};
+
+/// Plays seeds on all cores; those that fail.
+fn failing(seeds: std::ops::Range<u64>, mutant: Option<Mutant>, first_only: bool) -> Vec<(u64, String)> {
+    let next = AtomicU64::new(seeds.start);
+    let failed = Mutex::new(Vec::new());
+    let work = || {
+        loop {
+            let seed = next.fetch_add(1, Ordering::Relaxed);
+            if seed >= seeds.end || first_only && !failed.lock().unwrap().is_empty() {
+                return;
+            }
+            let verdict = play(&MemberPlan::draw(seed), MemberOptions { mutant });
+            if let Some((at, breach)) = verdict.breaches.first() {
+                let what = format!(
+                    "{} at {} s: n{} of n{}: {}",
+                    breach.code,
+                    at / 1_000_000,
+                    breach.observer,
+                    breach.member,
+                    breach.what
+                );
+                failed.lock().unwrap().push((seed, what));
+            }
+        }
+    };
+    let cores = std::thread::available_parallelism().map_or(2, |cores| cores.get());
+    std::thread::scope(|scope| (0..cores).for_each(|_| drop(scope.spawn(work))));
+    let mut failed = failed.into_inner().unwrap();
+    failed.sort();
+    failed
+}
+
+#[test]
+fn drawn_faults_break_no_rule() {
+    let failed = failing(1..1_001, None, false);
+    assert!(failed.is_empty(), "{} seeds: {:#?}", failed.len(), &failed[..failed.len().min(10)]);
+}
+
+#[test]
+fn each_mutant_is_found_within_forty_seeds() {
+    for (mutant, name, _) in Mutant::ALL {
+        let found = failing(1..41, Some(mutant), true);
+        // Sent again, an old datagram changes nothing: its window and the order of lives refuse it.
+        assert_eq!(found.is_empty(), mutant == Mutant::Replays, "{name}: {found:?}");
+    }
+}
+
+#[test]
+fn the_same_plan_gives_the_same_run_and_a_failing_one_is_shrunk() {
+    let plan = MemberPlan::draw(3);
+    let run = |plan: &MemberPlan| play(plan, MemberOptions::default()).digest;
+    assert_eq!(run(&plan), run(&MemberPlan::parse(&plan.text()).unwrap()));
+    assert_ne!(run(&plan), run(&MemberPlan { seed: 4, ..plan }));
+    let options = MemberOptions { mutant: Some(Mutant::NeverRefutes) };
+    let failing =
+        (1..41).map(MemberPlan::draw).find(|plan| !play(plan, options).holds() && plan.faults.len() > 2);
+    let plan = failing.unwrap();
+    let (small, code) = shrink_members(&plan, options, 200).unwrap();
+    assert!(small.faults.len() < plan.faults.len() && play(&small, options).code() == Some(code));
+}
--- a/crates/stonevane/src/main.rs
+++ b/crates/stonevane/src/main.rs
@@ -18,6 +18,7 @@
 
 mod bench;
 mod demo;
+mod fleet;
 mod lab;
 mod node;
 mod sim;
@@ -72,6 +73,9 @@
     /// Simulated fleets of the node's very core, with faults drawn from seeds: searches for broken rules.
     #[command(subcommand)]
     Sim(sim::Sim),
+    /// Membership among the nodes: simulated fleets, and what running nodes tell of it.
+    #[command(subcommand)]
+    Fleet(fleet::Fleet),
     /// Runs one stand-in by hand, until it is interrupted.
     #[command(subcommand)]
     StandIn(standin::StandIn),
@@ -149,6 +153,7 @@
         Command::Config(Config::Check { file }) => check(&file),
         Command::Lab(lab) => lab.run(),
         Command::Sim(sim) => sim.run(),
+        Command::Fleet(fleet) => fleet.run(),
         Command::StandIn(standin) => standin.run(),
         Command::Store(store) => store.run(),
         Command::Demo(demo) => demo.run(),
--- a/crates/stonevane/src/sim.rs
+++ b/crates/stonevane/src/sim.rs
@@ -92,7 +92,8 @@
     json: bool,
 }
 
-fn seeds(text: &str) -> Result<(u64, u64), String> {
+/// Reads `A..B`, the last one included, or one seed.
+pub fn seeds(text: &str) -> Result<(u64, u64), String> {
     let number = |text: &str| text.trim_start_matches('=').parse::<u64>().map_err(|e| e.to_string());
     let (from, to) = match text.split_once("..") {
         Some((from, to)) => (number(from)?, number(to)?),
