Nodes know of one another: [fleet] in the daemon, faults between processes in the lab

Change: [fleet] of the operator file (off in run) opens peer_listen and drives stonevane-fleet; GET /fleet on the second address; stonevane fleet status|watch|explain; the number of nodes that share limits goes to the module, more only.

--- a/crates/stonevane-audit/src/history.rs
+++ b/crates/stonevane-audit/src/history.rs
@@ -73,13 +73,21 @@
     /// Discovery has told a node of a server.
     Told,
     /// Something became of a node's process: `state` is `starting`, `ready`, `term`, `killed`, `exited`, or
-    /// `crashed` where it exited with another code than 0 after SIGTERM. From `killed` or `exited` on until it is
+    /// `crashed` where it exited with another code than 0 after SIGTERM, `paused` and `resumed` where it was stopped,
+    /// `slowed` and `steady` where it was given a small part of its time. From `killed` or `exited` on until it is
     /// `ready` again there is no process that could take a request.
     Node,
     /// The store of record has committed a version of a key: `key`, `version`, `value` and, of a keyed edit, `token`.
     Stored,
     /// A fault was put in or taken away.
     Fault,
+    /// What a node holds of all others was read: `state` has a letter for each, `a`live, `s`uspect, `d`ead, `l`eft, `?`.
+    View,
+    /// Datagrams from `node` to `server`, another node, are all lost (`state` is `cut`) or pass again (`passes`).
+    Cut,
+    /// Datagrams between nodes begin to be lost, doubled or late, or no longer are: `state` is `mild` or `severe`, with
+    /// `-ends` behind it at the end.
+    Weather,
     /// The last line.
     End,
 }
--- a/crates/stonevane-audit/src/report.rs
+++ b/crates/stonevane-audit/src/report.rs
@@ -22,6 +22,8 @@
     Tied,
     /// The deployment's limits: attempts for a request, second copies, the time to end after SIGTERM.
     Limits,
+    /// What nodes hold of one another.
+    Members,
 }
 
 impl fmt::Display for Rule {
@@ -33,6 +35,7 @@
             Rule::Cold => "rule 4 (no cold server pushed over)",
             Rule::Tied => "the tie of attempts (each is what was asked)",
             Rule::Limits => "the deployment's limits",
+            Rule::Members => "membership",
         })
     }
 }
@@ -123,6 +126,8 @@
     pub origin_overruns: usize,
     /// The most requests and recent ones that were held at once.
     pub held_at_most: usize,
+    /// Views of membership that were read.
+    pub views: usize,
     /// Answers by class and outcome.
     pub answers: BTreeMap<String, [usize; 3]>,
 }
--- a/crates/stonevane-audit/src/rules.rs
+++ b/crates/stonevane-audit/src/rules.rs
@@ -2,6 +2,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::membership::MembershipRules;
+
 /// What a repeat of a request does.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize, Default)]
 #[serde(rename_all = "snake_case")]
@@ -98,6 +100,8 @@
     pub store: bool,
     /// An edit shows in every answer to what is asked later than this after its receipt.
     pub visible_us: u64,
+    /// The bounds on what nodes hold of one another; none where they have no members.
+    pub membership: MembershipRules,
 }
 
 impl Default for Rules {
@@ -118,6 +122,7 @@
             origin: OriginRule::default(),
             store: false,
             visible_us: 0,
+            membership: MembershipRules::default(),
         }
     }
 }
--- a/crates/stonevane-config/src/lib.rs
+++ b/crates/stonevane-config/src/lib.rs
@@ -250,6 +250,14 @@
         items.iter().filter_map(text).collect()
     }
 
+    /// A list of texts, or one text alone, each with its place; none where it is not there.
+    pub fn texts_or_text(&self, key: &str) -> Vec<(String, Place)> {
+        match self.get(key).map(|value| (value.get_ref(), value.span())) {
+            Some((DeValue::String(text), place)) => vec![(text.to_string(), place)],
+            _ => self.texts(key),
+        }
+    }
+
     /// A table within, where it is there.
     pub fn table(&self, key: &str) -> Option<Table<'r, 't>> {
         let value = self.get(key)?;
--- a/crates/stonevane-config/src/operator.rs
+++ b/crates/stonevane-config/src/operator.rs
@@ -199,8 +199,58 @@
     }
 }
 
+/// Membership among the nodes; owned by the fleet.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Fleet {
+    /// One probe in each.
+    pub period: Duration,
+    /// A probe is to be answered within this.
+    pub answer: Duration,
+    /// Others that are asked for one that does not answer.
+    pub indirect: usize,
+    /// Periods for which the accused may object at the least, for each power of ten of the members.
+    pub suspicion: f64,
+    /// Whether a node that finds itself slow accuses later.
+    pub heeds_health: bool,
+    /// The key that all nodes share.
+    pub key: Option<[u8; 32]>,
+    /// The highest version of messages that is sent, 1 or 2.
+    pub speaks: u8,
+}
+
+impl Fleet {
+    fn read(table: &Table<'_, '_>) -> Fleet {
+        let period = table.integer("period_ms", 1_000, 50..=60_000);
+        let answer = table.integer("answer_ms", period / 2, 10..=60_000);
+        if 2 * answer > period {
+            let what = format!("`answer_ms` is to be at most half of `period_ms`, {}", period / 2);
+            table.fault(table.place_of("answer_ms"), what);
+        }
+        let text = table.text("key");
+        let key = text.as_deref().and_then(key);
+        if text.is_some() && key.is_none() {
+            table.fault(table.place_of("key"), "`key` is to be 32 bytes, as 64 hexadecimal digits");
+        }
+        Fleet {
+            period: Duration::from_millis(period),
+            answer: Duration::from_millis(answer),
+            indirect: table.integer("indirect", 3, 0..=16) as usize,
+            suspicion: table.number("suspicion", 3.0, 1.0..=20.0),
+            heeds_health: table.flag("heeds_health", true),
+            key,
+            speaks: table.integer("speaks", 2, 1..=2) as u8,
+        }
+    }
+}
+
+fn key(text: &str) -> Option<[u8; 32]> {
+    let digits: Vec<u8> = text.chars().map(|c| c.to_digit(16).map(|d| d as u8)).collect::<Option<_>>()?;
+    let bytes: Vec<u8> = digits.chunks_exact(2).map(|pair| pair[0] << 4 | pair[1]).collect();
+    if digits.len() == 64 { bytes.try_into().ok() } else { None }
+}
+
 /// All that an operator file can set.
-#[derive(Debug, Clone, PartialEq, Eq, Default)]
+#[derive(Debug, Clone, PartialEq, Default)]
 pub struct Operator {
     /// `[clients]`.
     pub clients: Clients,
@@ -208,6 +258,8 @@
     pub servers: Servers,
     /// `[store]`; `None`: the origin is a server of the list.
     pub store: Option<Store>,
+    /// `[fleet]`; `None`: nodes send one another nothing.
+    pub fleet: Option<Fleet>,
 }
 
 impl Operator {
@@ -236,6 +288,10 @@
             operator.store = Some(Store::read(&table));
             table.finish();
         }
+        if let Some(table) = root.table("fleet") {
+            operator.fleet = Some(Fleet::read(&table));
+            table.finish();
+        }
         root.finish();
         let faults = document.faults();
         if faults.is_empty() { Ok(operator) } else { Err(faults) }
--- a/crates/stonevane-core/src/io.rs
+++ b/crates/stonevane-core/src/io.rs
@@ -43,6 +43,9 @@
     Unusable,
     /// A person takes the cache server of a name out, or puts it back.
     Exclude(String, bool),
+    /// So many nodes surely share the fleet's limits, whatever the settings say of their number. More make this one
+    /// more careful; fewer than the settings have make it no bolder.
+    Sharers(u32),
     /// What this process of the node may take, while another stands beside it or has ended.
     Beside(Grant),
     /// The platform asks the node to end.
--- a/crates/stonevane-core/src/management.rs
+++ b/crates/stonevane-core/src/management.rs
@@ -19,6 +19,11 @@
     Ready,
     /// The figures.
     Metrics,
+    /// What this node knows of the others, whole or as a letter for each.
+    Fleet {
+        /// Whether only the letters are wanted.
+        brief: bool,
+    },
     /// A cache server is to be left out, or to be used again.
     Exclude {
         /// Its name.
@@ -117,6 +122,8 @@
     let (call, allow) = match path {
         "/ready" => (Call::Ready, "GET"),
         "/metrics" => (Call::Metrics, "GET"),
+        "/fleet" => (Call::Fleet { brief: false }, "GET"),
+        "/fleet/view" => (Call::Fleet { brief: true }, "GET"),
         _ => {
             let rest = path.strip_prefix("/cache-servers/").and_then(|rest| rest.split_once('/'));
             let (out, name) = match rest {
--- a/crates/stonevane-core/src/node.rs
+++ b/crates/stonevane-core/src/node.rs
@@ -152,6 +152,8 @@
     /// What it does wrong on purpose: nothing, but in the simulator.
     faults: F,
     deployment: Deployment,
+    /// Nodes that share the fleet's limits by what other nodes say; the settings' number holds where that is more.
+    sharers: u32,
     /// The settings that hold once clients have had their time, where others came a moment ago.
     settles: Option<(Micros, Box<Deployment>)>,
     figures: Figures,
@@ -284,6 +286,7 @@
             counted: Vec::new(),
             excluded: HashMap::new(),
             deployment,
+            sharers: 0,
         };
         core.counted = core.figures.name(&core.deployment.classes).unwrap_or_default();
         excluded.into_iter().for_each(|name| core.exclude(name, true));
@@ -395,6 +398,7 @@
             Input::Settings(deployment) => self.settings(deployment),
             Input::Unusable => self.figures.reloads_failed += 1,
             Input::Exclude(name, out) => self.exclude(name, out),
+            Input::Sharers(sharers) => self.sharers(sharers),
             Input::Beside(grant) => self.beside(grant),
             Input::Terminate => self.terminate(),
             Input::Wake => {}
@@ -1460,8 +1464,7 @@
         self.pool.retune(deployment.idle_close);
         self.counted = self.figures.name(&deployment.classes).unwrap_or_default();
         self.deployment = deployment;
-        let settings = Box::new(self.deployment.settings.clone());
-        self.tell(Event::Settings { settings, tenants });
+        self.tell_settings(tenants);
         if moved {
             // Servers are told anew, by the numbers that zones and kinds have now.
             let mut ids: Vec<_> = self.servers.keys().copied().collect();
@@ -1480,6 +1483,22 @@
         }
     }
 
+    fn tell_settings(&mut self, tenants: Vec<Option<usize>>) {
+        let mut settings = Box::new(self.deployment.settings.clone());
+        settings.balancers = settings.balancers.max(self.sharers);
+        self.tell(Event::Settings { settings, tenants });
+    }
+
+    fn sharers(&mut self, sharers: u32) {
+        let configured = self.deployment.settings.balancers;
+        let changes = self.sharers.max(configured) != sharers.max(configured);
+        self.sharers = sharers;
+        if changes {
+            let tenants = (0..self.deployment.tenants.len()).map(Some).collect();
+            self.tell_settings(tenants);
+        }
+    }
+
     // Servers out by hand, and figures.
 
     /// Whether a cache server of a name is listed, or is out by hand.
--- a/crates/stonevane-fleet/src/machine.rs
+++ b/crates/stonevane-fleet/src/machine.rs
@@ -284,10 +284,11 @@
         self.rows.iter().filter(|row| row.lives()).count()
     }
 
-    /// Members of which it is known that they exist or did: those that surely share the fleet's limits, and those that
-    /// may.
+    /// Members that share the fleet's limits, or may: all that have been heard of and did not say that they end. One
+    /// that is held dead may only be cut off.
     pub fn known(&self) -> usize {
-        self.rows.iter().filter(|row| row.record.is_some()).count()
+        let stays = |row: &&Row| row.record.is_some_and(|record| record.state != State::Left);
+        self.rows.iter().filter(stays).count()
     }
 
     /// What it can tell people.
@@ -834,7 +835,6 @@
         }
         let row = &mut self.rows[usize::from(record.member)];
         match row.record {
-            Some(known) if self.faults.has(Mutant::AccusesAll) && known.state == State::Dead => {}
             Some(known) if !record.beyond(&known) => {
                 let shared = record.order() == known.order() && record.state == State::Suspect;
                 let Some(suspicion) = row.suspicion.as_mut().filter(|_| shared) else { return };
--- a/crates/stonevane-node/src/config.rs
+++ b/crates/stonevane-node/src/config.rs
@@ -34,6 +34,10 @@
     pub deployment: Deployment,
     /// The file as it stood.
     pub text: serde_json::Value,
+    /// Where datagrams of other nodes arrive, and where each of them is found, as the file has it.
+    pub peer_listen: String,
+    /// One address for each node, in the order of their numbers.
+    pub peers: Vec<String>,
     /// What the operator file sets.
     pub operator: Operator,
 }
@@ -81,12 +85,24 @@
     limits: Limits,
     known: Option<Listing>,
     settings: Option<Box<serde_json::value::RawValue>>,
+    peer_listen: String,
+    peers: Vec<String>,
 }
 
 impl Default for File {
     fn default() -> Self {
         let (listen, mgmt, discovery, seed) = Default::default();
-        File { listen, mgmt, discovery, seed, limits: Limits::default(), known: None, settings: None }
+        File {
+            listen,
+            mgmt,
+            discovery,
+            seed,
+            limits: Limits::default(),
+            known: None,
+            settings: None,
+            peer_listen: String::new(),
+            peers: Vec::new(),
+        }
     }
 }
 
@@ -164,6 +180,8 @@
             known: file.known.unwrap_or_default(),
             deployment,
             text: value,
+            peer_listen: file.peer_listen,
+            peers: file.peers,
             operator: Operator::default(),
         })
     }
--- a/crates/stonevane-node/src/driver.rs
+++ b/crates/stonevane-node/src/driver.rs
@@ -22,6 +22,7 @@
 
 use crate::clock::{Clock, log};
 use crate::discovery::Discovery;
+use crate::fleet::Fleet;
 use crate::kept::Kept;
 use crate::store::Record;
 
@@ -64,6 +65,8 @@
     kept: Kept,
     /// The store in the origin's place.
     store: Option<Arc<Record>>,
+    /// This node among the others, where it takes part.
+    fleet: Option<Arc<Fleet>>,
     /// Version of the list held.
     index: Arc<AtomicU64>,
     /// When the core is woken next, in its time.
@@ -112,7 +115,13 @@
 
 impl Driver {
     /// A driver of a core that has done nothing yet.
-    pub fn new(core: Core, clock: Clock, kept: Kept, store: Option<Arc<Record>>) -> Arc<Driver> {
+    pub fn new(
+        core: Core,
+        clock: Clock,
+        kept: Kept,
+        store: Option<Arc<Record>>,
+        fleet: Option<Arc<Fleet>>,
+    ) -> Arc<Driver> {
         let index = Arc::new(AtomicU64::new(core.index().unwrap_or(0)));
         let state = State {
             core,
@@ -127,6 +136,7 @@
             clock,
             kept,
             store,
+            fleet,
             index: index.clone(),
             armed: AtomicU64::new(Micros::MAX),
             earlier: Notify::new(),
@@ -188,6 +198,13 @@
                 Ok(report) => Answer::object(report),
                 Err(e) => Answer::line(503, e.to_string()),
             },
+            Call::Fleet { brief } => match &self.fleet {
+                Some(fleet) => Answer::object(fleet.told(self.clock.now(), brief)),
+                None => Answer::line(
+                    404,
+                    "this node takes no part in a fleet: [fleet] of the operator file is not set",
+                ),
+            },
             Call::Exclude { name, .. } if !state.core.knows(&name) => {
                 Answer::line(404, "there is no cache server of that name")
             }
--- a/crates/stonevane-node/src/lib.rs
+++ b/crates/stonevane-node/src/lib.rs
@@ -7,6 +7,7 @@
 mod copies;
 mod discovery;
 mod driver;
+mod fleet;
 mod kept;
 mod listener;
 mod management;
@@ -27,6 +28,7 @@
 use clock::{Clock, log};
 use config::Config;
 use driver::Driver;
+use fleet::Fleet;
 use kept::Kept;
 use store::Record;
 
@@ -39,7 +41,7 @@
     }
 }
 
-async fn run(config: Config, store: Option<Arc<Record>>) -> std::io::Result<()> {
+async fn run(config: Config, store: Option<Arc<Record>>, part: Option<fleet::Part>) -> std::io::Result<()> {
     let tmpdir = std::env::var_os("TMPDIR").filter(|dir| !dir.is_empty()).map(PathBuf::from);
     let kept = Kept::new(tmpdir.clone());
     let clock = Clock::start();
@@ -61,6 +63,11 @@
         }
         None => None,
     };
+    let fleet = match part {
+        Some(part) => Some(Fleet::start(part, clock).await?),
+        None => None,
+    };
+    let others = management.as_ref().map_or(0, |_| management::SOCKETS) + usize::from(fleet.is_some());
     let excluded = if management.is_some() { kept.excluded() } else { Vec::new() };
     let mut deployment = config.deployment.clone();
     deployment.settings.shares_fetches = store.as_ref().is_some_and(|store| store.shares());
@@ -75,11 +82,11 @@
         servers: config.operator.servers,
         store: store.is_some(),
         copies: store.as_ref().is_some_and(|store| store.copies()),
-        others: management.as_ref().map_or(0, |_| management::SOCKETS),
+        others,
         excluded,
         replaced,
     };
-    let driver = Driver::new(Core::new(clock.now(), setup), clock, kept, store.clone());
+    let driver = Driver::new(Core::new(clock.now(), setup), clock, kept, store.clone(), fleet.clone());
     // Before anything is taken: what a process that is to be replaced holds counts for both.
     let beside =
         match tmpdir.filter(|_| replaced).map(|dir| Beside::new(&dir, (clock.now(), std::process::id()))) {
@@ -94,6 +101,10 @@
                 None
             }
         };
+    if let Some(fleet) = &fleet {
+        let told = driver.clone();
+        tokio::spawn(fleet.clone().run(move |sharers| told.input(Input::Sharers(sharers))));
+    }
     if let Some(listener) = management {
         tokio::spawn(management::serve(listener, driver.clone()));
     }
@@ -105,6 +116,7 @@
         // Whether a newer process takes the clients over is to be known before anything is closed, and that one learns
         // at once that it takes them alone.
         look(&looks).await;
+        fleet.iter().for_each(|fleet| fleet.leave());
         signals.input(Input::Terminate);
         look(&looks).await;
     });
@@ -155,6 +167,17 @@
     /// What is configured beside the platform's pages; `stonevane config check FILE` checks it without a node.
     #[arg(long, value_name = "FILE")]
     operator: Option<PathBuf>,
+    /// Ends, by SIGKILL, with the process of this number that started it: for labs, which leave nothing behind.
+    #[arg(long, value_name = "PID", hide = true)]
+    ends_with: Option<u32>,
+}
+
+/// Has the machine kill this process when its parent ends; whether the parent is there yet.
+fn ends_with(parent: u32) -> bool {
+    use rustix::process::{Signal, getppid, set_parent_process_death_signal};
+    let set = set_parent_process_death_signal(Some(Signal::KILL)).is_ok();
+    let there = getppid().is_some_and(|pid| pid.as_raw_nonzero().get().unsigned_abs() == parent);
+    set && there
 }
 
 /// Reads an operator file; or a line for each fault.
@@ -169,6 +192,9 @@
 /// Exit code 0 after a drain; 2, with one line on standard error, for a configuration that can't be used.
 pub fn main() -> ExitCode {
     let args = Args::parse();
+    if args.ends_with.is_some_and(|parent| !ends_with(parent)) {
+        return ExitCode::from(3);
+    }
     let operator = match args.operator.as_deref().map(read_operator).transpose() {
         Ok(operator) => operator.unwrap_or_default(),
         Err(lines) => {
@@ -183,6 +209,13 @@
             return ExitCode::from(2);
         }
     };
+    let part = match config.operator.fleet.as_ref().map(|told| fleet::Part::new(told, &config)).transpose() {
+        Ok(part) => part,
+        Err(lines) => {
+            lines.iter().for_each(|line| log(line));
+            return ExitCode::from(2);
+        }
+    };
     let store = match config.operator.store.as_ref().map(|told| (told, Record::open(told, config.seed))) {
         None => None,
         Some((_, Ok(store))) => Some(Arc::new(store)),
@@ -193,7 +226,7 @@
     };
     let listen = config.listen;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-    match runtime.and_then(|runtime| runtime.block_on(run(config, store))) {
+    match runtime.and_then(|runtime| runtime.block_on(run(config, store, part))) {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
             log(&format!("cannot listen on {listen}: {e}"));
--- a/crates/stonevane/src/fleet.rs
+++ b/crates/stonevane/src/fleet.rs
@@ -1,18 +1,24 @@
 //! `stonevane fleet`: membership among the nodes, in simulation and as running nodes tell it.
 
+use std::collections::BTreeMap;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::sync::Mutex;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use clap::{Args, Subcommand};
+use serde_json::Value;
 use stonevane_fleet::Mutant;
 use stonevane_sim::members::{MemberOptions, MemberPlan, MemberVerdict, play, shrink_members};
 
 use crate::sim::seeds;
-use crate::{BROKEN, UNUSABLE};
+use crate::{BROKEN, NOT_RUN, UNUSABLE};
 
+/// The longest answer of a node, in bytes.
+const MOST_TOLD: u64 = 8 << 20;
 /// Failing seeds that are told of one by one.
 const TOLD: usize = 10;
 
@@ -28,6 +34,246 @@
   stonevane fleet simulate --seeds 1..5 --members 1000
   stonevane fleet simulate --mutants                            the deliberate faults, one a line")]
     Simulate(Simulate),
+    /// Asks a node what it knows of the others: a table, worst first.
+    #[command(after_help = "Example: stonevane fleet status 127.0.0.1:7950")]
+    Status(Ask),
+    /// The same again and again: a line for each change.
+    #[command(after_help = "Example: stonevane fleet watch 127.0.0.1:7950 --every-ms 500")]
+    Watch {
+        /// What is asked.
+        #[command(flatten)]
+        ask: Ask,
+        /// The time between two looks.
+        #[arg(long, default_value_t = 1_000, value_parser = clap::value_parser!(u64).range(50..=3_600_000))]
+        every_ms: u64,
+        /// Looks, and then the end; 0: until it is stopped.
+        #[arg(long, default_value_t = 0)]
+        looks: u64,
+    },
+    /// All that nodes know of one of them, in sentences: ask several, and each cut in one direction shows.
+    #[command(after_help = "Example: stonevane fleet explain n7 127.0.0.1:7950 127.0.0.1:7951")]
+    Explain {
+        /// The member: its number, `n7`, or its address in `peers`.
+        node: String,
+        /// What is asked.
+        #[command(flatten)]
+        ask: Ask,
+    },
+}
+
+/// Whom to ask.
+#[derive(Args)]
+pub struct Ask {
+    /// Second addresses (`mgmt`) of nodes.
+    #[arg(required = true, value_name = "ADDRESS")]
+    nodes: Vec<SocketAddr>,
+    /// JSON as the nodes tell it.
+    #[arg(long)]
+    json: bool,
+}
+
+/// What a node tells of the fleet.
+fn told(node: SocketAddr) -> Result<Value, String> {
+    let limit = Duration::from_secs(2);
+    let ask = || -> std::io::Result<String> {
+        let mut stream = TcpStream::connect_timeout(&node, limit)?;
+        stream.set_read_timeout(Some(limit))?;
+        stream.write_all(b"GET /fleet HTTP/1.1\r\nHost: fleet\r\n\r\n")?;
+        let mut answer = String::new();
+        stream.take(MOST_TOLD).read_to_string(&mut answer)?;
+        Ok(answer)
+    };
+    let answer = ask().map_err(|e| format!("{node}: {e}"))?;
+    let body = answer.split_once("\r\n\r\n").map_or("", |(_, body)| body);
+    if !answer.starts_with("HTTP/1.1 200 ") {
+        return Err(format!("{node}: {}", body.lines().next().unwrap_or("no answer")));
+    }
+    serde_json::from_str(body).map_err(|e| format!("{node}: {e}"))
+}
+
+fn text<'v>(value: &'v Value, key: &str) -> &'v str {
+    value[key].as_str().unwrap_or("")
+}
+
+/// A time of so many milliseconds ago, for people.
+fn ago(value: &Value) -> String {
+    match value.as_u64() {
+        None => "never".into(),
+        Some(ms) if ms < 10_000 => format!("{ms} ms"),
+        Some(ms) if ms < 600_000 => format!("{} s", ms / 1_000),
+        Some(ms) => format!("{} min", ms / 60_000),
+    }
+}
+
+fn members(told: &Value) -> &[Value] {
+    told["members"].as_array().map_or(&[], Vec::as_slice)
+}
+
+fn table(node: SocketAddr, told: &Value) {
+    let count = |state: &str| members(told).iter().filter(|member| text(member, "state") == state).count();
+    let states: Vec<_> = ["alive", "suspect", "dead", "left", "unknown"]
+        .iter()
+        .filter_map(|state| Some((count(state), state)).filter(|(count, _)| *count > 0))
+        .map(|(count, state)| format!("{count} {state}"))
+        .collect();
+    let datagrams = &told["datagrams"];
+    let refused: Vec<_> = datagrams["refused"]
+        .as_object()
+        .into_iter()
+        .flatten()
+        .map(|(cause, count)| format!("{count} {cause}"))
+        .collect();
+    say!("{node}: n{}, {}; own health {} (0 is well)", told["me"], states.join(", "), told["health"]);
+    if !told["alone_ms"].is_null() {
+        say!("  it hears nobody since {}: what it suspects may be its own cut", ago(&told["alone_ms"]));
+    }
+    say!(
+        "  datagrams: {} sent ({} bytes), {} heard ({} bytes), refused: {}",
+        datagrams["sent"],
+        datagrams["sent_bytes"],
+        datagrams["heard"],
+        datagrams["heard_bytes"],
+        refused.join(", ")
+    );
+    say!(
+        "{:<6} {:<8} {:>9} {:>5} {:>9} {:>9}  {:<24} {}",
+        "member",
+        "state",
+        "for",
+        "by",
+        "heard",
+        "answered",
+        "link",
+        "address"
+    );
+    let grave = |member: &Value| match text(member, "state") {
+        "dead" => 0,
+        "suspect" => 1,
+        "left" => 2,
+        "unknown" => 3,
+        _ => 4,
+    };
+    let mut sorted: Vec<&Value> = members(told).iter().collect();
+    sorted.sort_by_key(|member| (grave(member), member["member"].as_u64()));
+    for member in sorted {
+        let by = member["by"].as_u64().map_or("-".into(), |by| format!("n{by}"));
+        say!(
+            "{:<6} {:<8} {:>9} {by:>5} {:>9} {:>9}  {:<24} {}",
+            format!("n{}", member["member"]),
+            text(member, "state"),
+            ago(&member["for_ms"]),
+            ago(&member["heard_ms"]),
+            ago(&member["answered_ms"]),
+            text(member, "link"),
+            text(member, "address")
+        );
+    }
+}
+
+impl Ask {
+    /// What each node tells; those that do not answer are told of on standard error.
+    fn all(&self) -> Result<Vec<(SocketAddr, Value)>, (String, u8)> {
+        let all: Vec<_> = self.nodes.iter().map(|node| (*node, told(*node))).collect();
+        for (_, e) in &all {
+            if let Err(e) = e {
+                warn!("stonevane: {e}");
+            }
+        }
+        let good: Vec<_> = all.into_iter().filter_map(|(node, told)| Some((node, told.ok()?))).collect();
+        if good.is_empty() { Err(("nobody has told anything".into(), NOT_RUN)) } else { Ok(good) }
+    }
+
+    fn status(&self) -> Result<bool, (String, u8)> {
+        for (node, told) in self.all()? {
+            match self.json {
+                true => say!("{told}"),
+                false => table(node, &told),
+            }
+        }
+        Ok(true)
+    }
+
+    fn watch(&self, every: Duration, looks: u64) -> Result<bool, (String, u8)> {
+        let mut before: BTreeMap<(SocketAddr, u64), String> = BTreeMap::new();
+        for look in 1u64.. {
+            for (node, told) in self.all()? {
+                for member in members(&told) {
+                    let number = member["member"].as_u64().unwrap_or(0);
+                    let now = format!("{}, {}", text(member, "state"), text(member, "link"));
+                    let was = before.insert((node, number), now.clone());
+                    if was.as_ref() == Some(&now) {
+                        continue;
+                    }
+                    match self.json {
+                        true => say!(
+                            "{}",
+                            serde_json::json!({"node": node.to_string(), "was": was, "member": member})
+                        ),
+                        false => say!("{node}  n{number}: {} -> {now}", was.as_deref().unwrap_or("-")),
+                    }
+                }
+            }
+            if look == looks {
+                break;
+            }
+            std::thread::sleep(every);
+        }
+        Ok(true)
+    }
+
+    fn explain(&self, name: &str) -> Result<bool, (String, u8)> {
+        let all = self.all()?;
+        let number: Option<u64> = name.strip_prefix('n').unwrap_or(name).parse().ok();
+        let mut found = false;
+        for (_, told) in &all {
+            let own = told["me"].as_u64();
+            let is = |member: &&Value| text(member, "address") == name || member["member"].as_u64() == number;
+            let Some(member) = members(told).iter().find(is) else { continue };
+            found = true;
+            if self.json {
+                say!("{member}");
+                continue;
+            }
+            let (me, it) = (own.unwrap_or(0), member["member"].as_u64().unwrap_or(0));
+            if me == it {
+                say!(
+                    "n{it} says of itself: life {} of generation {}, incarnation {}, health {}; it objected {} times, \
+                     stood still {} times, accused {} times",
+                    told["life"],
+                    told["generation"],
+                    told["incarnation"],
+                    told["health"],
+                    told["refuted"],
+                    told["stood_still"],
+                    told["accused"]
+                );
+                continue;
+            }
+            say!(
+                "n{me} holds n{it} {} for {} by the word of {} ({} accusers), life {} of generation {}, incarnation {}",
+                text(member, "state"),
+                ago(&member["for_ms"]),
+                member["by"].as_u64().map_or("nobody".into(), |by| format!("n{by}")),
+                member["accusers"],
+                member["life"],
+                member["generation"],
+                member["incarnation"]
+            );
+            say!(
+                "  heard from it {} ago, it answered a probe {} ago, left one unanswered {} ago; its own health {}",
+                ago(&member["heard_ms"]),
+                ago(&member["answered_ms"]),
+                ago(&member["unanswered_ms"]),
+                member["health"]
+            );
+            match text(member, "link") {
+                "does not hear this node" => say!("  n{me} hears n{it}, n{it} does not hear n{me}"),
+                "is not heard" => say!("  n{me} does not hear n{it}, though others do"),
+                _ => {}
+            }
+        }
+        if found { Ok(true) } else { Err((format!("nobody knows a member `{name}`"), UNUSABLE)) }
+    }
 }
 
 /// What is simulated.
@@ -56,7 +302,8 @@
     mutants: bool,
 }
 
-fn mutant(name: &str) -> Result<Mutant, String> {
+/// Reads the name of a deliberate fault.
+pub fn mutant(name: &str) -> Result<Mutant, String> {
     Mutant::named(name)
         .ok_or_else(|| "no such mutant; `stonevane fleet simulate --mutants` lists them".into())
 }
@@ -66,6 +313,9 @@
     pub fn run(self) -> ExitCode {
         let done = match self {
             Fleet::Simulate(simulate) => simulate.run(),
+            Fleet::Status(ask) => ask.status(),
+            Fleet::Watch { ask, every_ms, looks } => ask.watch(Duration::from_millis(every_ms), looks),
+            Fleet::Explain { node, ask } => ask.explain(&node),
         };
         match done {
             Ok(true) => ExitCode::SUCCESS,
--- a/crates/stonevane/src/lab.rs
+++ b/crates/stonevane/src/lab.rs
@@ -56,7 +56,7 @@
     #[arg(long)]
     seed: Option<u64>,
     /// Another number of nodes.
-    #[arg(long, value_parser = clap::value_parser!(u64).range(1..=64))]
+    #[arg(long, value_parser = clap::value_parser!(u64).range(1..=400))]
     nodes: Option<u64>,
     /// A multiple of the scenario's rate.
     #[arg(long, value_name = "TIMES")]
@@ -82,6 +82,13 @@
     /// Little nodes that break a rule in the nodes' place, to see them caught.
     #[arg(long, value_name = "CRIME", value_parser = crime)]
     crooked: Option<Crime>,
+    /// Nodes know nothing of one another, whatever the scenario says: the control.
+    #[arg(long)]
+    without_fleet: bool,
+    /// A member in a node's place that breaks a rule of membership (`fleet simulate --mutants` lists them), to see it
+    /// caught.
+    #[arg(long, value_name = "MUTANT", value_parser = crate::fleet::mutant)]
+    crooked_member: Option<stonevane_fleet::Mutant>,
 }
 
 fn crime(name: &str) -> Result<Crime, String> {
@@ -249,10 +256,17 @@
                 Err(code) => return code,
             },
         };
-        let scenario = match Scenario::parse(&text) {
+        let mut scenario = match Scenario::parse(&text) {
             Ok(scenario) => scenario,
             Err(wrong) => return faults(&self.scenario, &wrong),
         };
+        if let Some(mutant) = self.crooked_member {
+            let Some(spec) = &mut scenario.membership else {
+                warn!("stonevane: `{}` has no [membership] for a crooked member", self.scenario);
+                return ExitCode::from(UNUSABLE);
+            };
+            spec.crooked = Some((1, mutant));
+        }
         let kind = match self.crooked {
             Some(crime) => Kind::Little(crime),
             None => match node::program(self.node_program.as_deref()) {
@@ -269,6 +283,7 @@
             load: self.load,
             short: self.short,
             kind,
+            without_fleet: self.without_fleet,
             history: self.history.clone(),
             progress: true,
         };
