--- a/crates/stonevane-audit/src/auditor.rs
+++ b/crates/stonevane-audit/src/auditor.rs
@@ -370,6 +370,7 @@
     /// The verdict, once the last line was taken.
     pub fn finish(mut self) -> Report {
         self.settle(u64::MAX, true);
+        self.report.membership = self.membership.figures().clone();
         self.report
     }
 
@@ -904,7 +905,6 @@
 
     /// What a node holds of the others.
     fn view(&mut self, seen: Seen) {
-        self.report.views += 1;
         let Some(observer) = self.membership.number(&seen.1.node) else { return };
         for breach in self.membership.view(seen.1.t, observer, &seen.1.state) {
             let what = format!("n{} in the view of {}: {}", breach.member, seen.1.node, breach.what);
--- a/crates/stonevane-audit/src/lib.rs
+++ b/crates/stonevane-audit/src/lib.rs
@@ -26,6 +26,6 @@
 
 pub use auditor::Auditor;
 pub use history::{Effect, Event, HistoryError, Line, Outcome, Span, audit};
-pub use membership::{Breach, Membership, MembershipRules};
+pub use membership::{Breach, Membership, MembershipFigures, MembershipRules};
 pub use report::{Evidence, Fault, Finding, Report, Rule};
 pub use rules::{ClassRule, Kind, OriginRule, Rules, Scope, able};
--- a/crates/stonevane-audit/src/membership.rs
+++ b/crates/stonevane-audit/src/membership.rs
@@ -58,6 +58,8 @@
     down: Option<u64>,
     /// Whether there has ever been one.
     was: bool,
+    /// It was told to end.
+    told: bool,
     pauses: u32,
     /// Since when it has been clear, at the latest; `None` while it is not.
     clear: Option<u64>,
@@ -75,9 +77,48 @@
     suspected: (u64, u32),
 }
 
+/// A process that ended without a word, and who knows of it.
+#[derive(Debug, Clone)]
+struct Death {
+    member: usize,
+    at: u64,
+    knows: Vec<bool>,
+    first: Option<u64>,
+    last: Option<u64>,
+    over: bool,
+}
+
+/// Figures of membership, beside the rules.
+#[derive(Debug, Clone, PartialEq, Default, Serialize)]
+pub struct MembershipFigures {
+    /// Views that were read.
+    pub views: usize,
+    /// Processes that ended without a word.
+    pub deaths: usize,
+    /// For each that was seen: microseconds until the first clear view had it as dead or suspected.
+    pub first_us: Vec<u64>,
+    /// For each that all clear views saw: until the last of them had.
+    pub last_us: Vec<u64>,
+    /// Times that a clear member became dead in some clear view.
+    pub false_deaths: usize,
+}
+
+impl MembershipFigures {
+    /// A part of some times, the shortest first; `None` where there are none.
+    pub fn part(times: &[u64], part: f64) -> Option<u64> {
+        let mut times = times.to_vec();
+        times.sort_unstable();
+        times.get((times.len().saturating_sub(1) as f64 * part) as usize).copied()
+    }
+}
+
 /// The judge. Events come in the order of their ends.
 #[derive(Debug)]
 pub struct Membership {
+    deaths: Vec<Death>,
+    /// For each member, how many views have it dead though it is clear.
+    falsely: Vec<usize>,
+    figures: MembershipFigures,
     rules: MembershipRules,
     members: Vec<Member>,
     /// How many cuts are in force from one to the other.
@@ -96,6 +137,9 @@
         let count = rules.members;
         let gone = Member { down: Some(0), ..Member::default() };
         Membership {
+            deaths: Vec::new(),
+            falsely: vec![0; count],
+            figures: MembershipFigures::default(),
             rules,
             members: vec![gone; count],
             cuts: vec![0; count * count],
@@ -125,14 +169,26 @@
             }
             "ready" => {
                 known.was = true;
+                known.told = false;
                 known.down = None;
                 known.pauses = 0;
             }
             // From here on it may say that it leaves.
-            "term" => known.pauses += 1,
+            "term" => {
+                known.told = true;
+                known.pauses += 1;
+            }
             "paused" => known.pauses += 1,
             "resumed" => known.pauses = known.pauses.saturating_sub(1),
             "killed" | "exited" | "crashed" if known.down.is_none() => {
+                // One that was told to end has said so.
+                if !std::mem::take(&mut known.told) {
+                    let (at, knows) = (t.ended, vec![false; self.members.len()]);
+                    let death = Death { member, at, knows, first: None, last: None, over: false };
+                    self.figures.deaths += 1;
+                    self.deaths.push(death);
+                }
+                let known = &mut self.members[member];
                 known.down = Some(t.ended);
                 known.pauses = 0;
             }
@@ -140,6 +196,7 @@
         }
         self.change(t);
         if matches!(state, "starting" | "ready") {
+            self.deaths.iter_mut().filter(|death| death.member == member).for_each(|death| death.over = true);
             let shown = self.views.iter_mut().skip(member).step_by(self.members.len().max(1));
             shown.for_each(|shown| shown.buried = false);
             // A new life's view is its own.
@@ -211,6 +268,8 @@
         if observer >= count {
             return breaches;
         }
+        self.figures.views += 1;
+        self.measure(t, observer, states.as_bytes());
         let calm = self.any_cut == 0 && self.weather == 0 && !self.members.iter().any(|m| m.pauses > 0);
         let settled = calm && t.begun > self.changed + self.rules.converge_us;
         for (member, state) in states.bytes().take(count).enumerate() {
@@ -228,6 +287,45 @@
         breaches
     }
 
+    /// The figures, with the verdict still to come.
+    pub fn figures(&self) -> &MembershipFigures {
+        &self.figures
+    }
+
+    fn measure(&mut self, t: Span, observer: usize, states: &[u8]) {
+        let count = self.members.len();
+        if self.members[observer].clear.is_none() {
+            return;
+        }
+        for (member, state) in states.iter().enumerate().take(count) {
+            let was = self.views[observer * count + member].state == b'd';
+            let falsely = &mut self.falsely[member];
+            match (*state == b'd', was) {
+                (true, false) if self.members[member].clear.is_some() => {
+                    self.figures.false_deaths += usize::from(*falsely == 0);
+                    *falsely += 1;
+                }
+                (false, true) => *falsely = falsely.saturating_sub(1),
+                _ => {}
+            }
+        }
+        for death in self.deaths.iter_mut().filter(|death| !death.over && death.last.is_none()) {
+            if states.get(death.member).is_none_or(|state| *state == b'a') || death.member == observer {
+                continue;
+            }
+            let took = t.begun.saturating_sub(death.at);
+            if death.first.is_none() {
+                death.first = Some(took);
+                self.figures.first_us.push(took);
+            }
+            death.knows[observer] = true;
+            if (0..count).all(|other| death.knows[other] || self.members[other].clear.is_none()) {
+                death.last = Some(took);
+                self.figures.last_us.push(took);
+            }
+        }
+    }
+
     fn judged(
         &mut self,
         t: Span,
--- a/crates/stonevane-audit/src/report.rs
+++ b/crates/stonevane-audit/src/report.rs
@@ -5,6 +5,8 @@
 
 use serde::Serialize;
 
+use crate::membership::MembershipFigures;
+
 /// One of the four rules.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize)]
 #[serde(rename_all = "snake_case")]
@@ -126,8 +128,8 @@
     pub origin_overruns: usize,
     /// The most requests and recent ones that were held at once.
     pub held_at_most: usize,
-    /// Views of membership that were read.
-    pub views: usize,
+    /// What was measured of membership.
+    pub membership: MembershipFigures,
     /// Answers by class and outcome.
     pub answers: BTreeMap<String, [usize; 3]>,
 }
--- a/crates/stonevane-lab/src/fleet.rs
+++ b/crates/stonevane-lab/src/fleet.rs
@@ -240,7 +240,7 @@
         "machineTypes": [cache.kind, scenario.origin.kind],
         "discovery": if scenario.pushed { "push" } else { "ask" },
         "specifics": {"mode": "aside", "originKind": 1},
-        "limits": {"maxAttempts": attempts, "mayCancel": true, "mayDuplicate": scenario.second_copies, "connectTimeoutUs": 100_000,
+        "limits": {"maxAttempts": attempts, "peers": scenario.membership.is_some(), "mayCancel": true, "mayDuplicate": scenario.second_copies, "connectTimeoutUs": 100_000,
             "idleCloseUs": cache.idle_us, "retryAfter": true, "maxRetryAfterUs": 1_500_000},
         "guarantees": {"askWithinUs": 6_000_000, "coldShare": cache.cold_share, "coldUs": cache.warm_us,
             "drainGraceUs": 500_000, "fallMultiple": cache.fall_multiple, "tipAfterUs": cache.fall_us},
--- a/crates/stonevane-node/src/lib.rs
+++ b/crates/stonevane-node/src/lib.rs
@@ -209,7 +209,13 @@
             return ExitCode::from(2);
         }
     };
-    let part = match config.operator.fleet.as_ref().map(|told| fleet::Part::new(told, &config)).transpose() {
+    let told = config.operator.fleet.as_ref();
+    let allowed = config.deployment.settings.may_tell_peers;
+    if told.is_some() && !allowed {
+        log("the settings allow no messages between nodes: [fleet] stays off");
+    }
+    let part = told.filter(|_| allowed).map(|told| fleet::Part::new(told, &config)).transpose();
+    let part = match part {
         Ok(part) => part,
         Err(lines) => {
             lines.iter().for_each(|line| log(line));
--- a/crates/stonevane-node/tests/node/service.rs
+++ b/crates/stonevane-node/tests/node/service.rs
@@ -197,6 +197,35 @@
     assert_eq!(ask("put"), "aa");
 }
 
+#[test]
+fn a_fleet_that_can_not_be_is_told_a_line_for_each_fault_and_exit_code_2() {
+    let (discovery, _say, _calls) = quiet();
+    let allowed = settings().replace(r#""maxAttempts":4,"#, r#""maxAttempts":4,"peers":true,"#);
+    let text = config(discovery, &listing(1, true, &[]), 256, &allowed);
+    let peers = r#"{"peer_listen":"nowhere","peers":["127.0.0.1:7001","127.0.0.1:70000","127.0.0.1:7001"],"#;
+    let path = config_file(&text.replacen("{", peers, 1));
+    let operator = std::env::temp_dir().join(format!("stonevane-fleet-{}.toml", std::process::id()));
+    std::fs::write(&operator, "[fleet]\n").unwrap();
+    let run = std::process::Command::new(env!("CARGO_BIN_EXE_spardeal-node"))
+        .arg("--operator")
+        .arg(&operator)
+        .env("ROUTER_CONFIG", &path)
+        .output()
+        .unwrap();
+    std::fs::remove_file(path).unwrap();
+    std::fs::remove_file(operator).unwrap();
+    assert_eq!(run.status.code(), Some(2));
+    let lines = String::from_utf8_lossy(&run.stderr).into_owned();
+    for fault in
+        ["peer_listen in the configuration: \"nowhere\"", "peers[1]", "names 127.0.0.1:7001 twice, as 0 and "]
+    {
+        assert!(
+            lines.lines().any(|line| line.contains("[fleet]") && line.contains(fault)),
+            "{fault}: {lines}"
+        );
+    }
+}
+
 #[test]
 fn a_second_address_that_is_none_or_is_taken_is_one_line_and_exit_code_2() {
     let taken = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
--- a/crates/stonevane-sim/src/members/plan.rs
+++ b/crates/stonevane-sim/src/members/plan.rs
@@ -222,6 +222,34 @@
         plan
     }
 
+    /// A plan to measure by: so many members, a part of them slow and a part of all datagrams lost throughout, one killed
+    /// in each stretch of 30 s after the first.
+    pub fn measured(seed: u64, members: usize, loss: f64, slow: f64, length: u64) -> MemberPlan {
+        let mut faults: Vec<MemberFault> = (0..(members as f64 * slow) as usize)
+            .map(|member| MemberFault { at: 10 * S, lasts: FOR_GOOD, what: Wrong::Slow { member } })
+            .collect();
+        let kills = (20 * S..length.saturating_sub(20 * S)).step_by(30 * S as usize).enumerate();
+        let gone = |turn: usize| members - 1 - turn % (members / 2).max(1);
+        let kill = |(turn, at)| MemberFault { at, lasts: 25 * S, what: Wrong::Kill { member: gone(turn) } };
+        faults.extend(kills.map(kill));
+        faults.sort_by_key(|fault| fault.at);
+        let bounds = (10_000, 10_000, 10_000, 10_000);
+        MemberPlan {
+            seed,
+            members,
+            strangers: 0,
+            starts: 2 * S,
+            delay: 10_000,
+            loss,
+            keyed: false,
+            old: 0,
+            heeds_health: true,
+            faults,
+            length,
+            bounds,
+        }
+    }
+
     /// Sets the length and the bounds to what the faults ask for.
     pub fn settle(&mut self) {
         let ends =
--- a/crates/stonevane-sim/src/members/world.rs
+++ b/crates/stonevane-sim/src/members/world.rs
@@ -4,7 +4,7 @@
 use std::collections::{BinaryHeap, VecDeque};
 
 use oorandom::Rand64;
-use stonevane_audit::{Breach, Membership, Span};
+use stonevane_audit::{Breach, Membership, MembershipFigures, Span};
 use stonevane_fleet::wire::MAX_DATAGRAM;
 use stonevane_fleet::{Counts, Input, Machine, Mutant, Outputs, Setup};
 
@@ -37,11 +37,8 @@
     pub bytes: u64,
     /// Members' seconds.
     pub member_s: f64,
-    /// Views in which a clear member became dead: false deaths.
-    pub false_deaths: u64,
-    /// For each process that was killed: how long until the first and until the last running view had it as dead or
-    /// suspected, microseconds; `None` where that did not happen.
-    pub detections: Vec<(Option<u64>, Option<u64>)>,
+    /// What the judge measured.
+    pub figures: MembershipFigures,
     /// A digest of all that happened.
     pub digest: u64,
 }
@@ -84,14 +81,6 @@
     armed: u64,
 }
 
-struct Death {
-    member: usize,
-    at: u64,
-    first: Option<u64>,
-    last: Option<u64>,
-    over: bool,
-}
-
 struct World<'p> {
     plan: &'p MemberPlan,
     options: MemberOptions,
@@ -104,8 +93,6 @@
     weather: Vec<(usize, f64, f64, u64)>,
     judge: Membership,
     verdict: MemberVerdict,
-    deaths: Vec<Death>,
-    shown: Vec<String>,
     outputs: Outputs,
 }
 
@@ -170,7 +157,6 @@
         if self.processes[member].stopped > 0 {
             self.judge.process(t, member, "paused");
         }
-        self.deaths.iter_mut().filter(|death| death.member == member).for_each(|death| death.over = true);
         self.tell(member, None);
     }
 
@@ -178,8 +164,6 @@
         if let Some(machine) = self.processes[member].machine.take() {
             self.count(machine.status().counts);
             self.judge.process(self.span(), member, "killed");
-            let at = self.now;
-            self.deaths.push(Death { member, at, first: None, last: None, over: false });
         }
     }
 
@@ -353,7 +337,6 @@
     /// Reads the view of each process that runs.
     fn look(&mut self) {
         let t = self.span();
-        let mut clear_views = Vec::new();
         for observer in 0..self.there() {
             if !self.runs(observer) {
                 continue;
@@ -365,34 +348,12 @@
             };
             let view: String = (0..self.plan.members).map(letter).collect();
             self.verdict.member_s += 0.5;
-            let before = &self.shown[observer];
-            for (member, (was, is)) in before.bytes().zip(view.bytes()).enumerate() {
-                let there = self.runs(member) && self.cuts.iter().all(|cut| *cut == 0);
-                if is == b'd' && matches!(was, b'a' | b's') && there {
-                    self.verdict.false_deaths += 1;
-                }
-            }
             for breach in self.judge.view(t, observer, &view) {
                 self.verdict.broken += 1;
                 if self.verdict.breaches.len() < 20 {
                     self.verdict.breaches.push((self.now, breach));
                 }
             }
-            self.shown[observer].clone_from(&view);
-            clear_views.push((observer, view));
-        }
-        for death in self.deaths.iter_mut().filter(|death| !death.over && death.last.is_none()) {
-            let others = clear_views.iter().filter(|(observer, _)| *observer != death.member);
-            let knows = others.map(|(_, view)| view.as_bytes()[death.member] != b'a');
-            let (mut some, mut all) = (false, true);
-            knows.for_each(|knows| (some, all) = (some || knows, all && knows));
-            let took = self.now - death.at;
-            if some {
-                death.first.get_or_insert(took);
-            }
-            if some && all {
-                death.last = Some(took);
-            }
         }
         self.push(self.now + PERIOD / 2, Due::Look);
     }
@@ -461,8 +422,6 @@
         weather: Vec::new(),
         judge: Membership::new(plan.rules()),
         verdict: MemberVerdict::default(),
-        deaths: Vec::new(),
-        shown: vec![String::new(); plan.members],
         outputs: Outputs::default(),
     };
     for member in 0..world.there() {
@@ -485,7 +444,7 @@
             world.count(machine.status().counts);
         }
     }
-    world.verdict.detections = world.deaths.iter().map(|death| (death.first, death.last)).collect();
+    world.verdict.figures = world.judge.figures().clone();
     world.verdict
 }
 
--- a/crates/stonevane-sim/tests/members.rs
+++ b/crates/stonevane-sim/tests/members.rs
@@ -40,7 +40,7 @@
 
 #[test]
 fn drawn_faults_break_no_rule() {
-    let failed = failing(1..1_001, None, false);
+    let failed = failing(1..2_001, None, false);
     assert!(failed.is_empty(), "{} seeds: {:#?}", failed.len(), &failed[..failed.len().min(10)]);
 }
 
--- a/crates/stonevane/src/fleet.rs
+++ b/crates/stonevane/src/fleet.rs
@@ -11,7 +11,9 @@
 
 use clap::{Args, Subcommand};
 use serde_json::Value;
+use stonevane_audit::MembershipFigures;
 use stonevane_fleet::Mutant;
+use stonevane_lab::plot::{COLOURS, Curve, Panel, picture};
 use stonevane_sim::members::{MemberOptions, MemberPlan, MemberVerdict, play, shrink_members};
 
 use crate::sim::seeds;
@@ -34,6 +36,11 @@
   stonevane fleet simulate --seeds 1..5 --members 1000
   stonevane fleet simulate --mutants                            the deliberate faults, one a line")]
     Simulate(Simulate),
+    /// Measures simulated fleets: time to detection and false deaths against loss and slow members, and what it costs.
+    #[command(
+        after_help = "Example: stonevane fleet measure --members 16,64,300,1000 --seconds 600 --csv fleet.csv"
+    )]
+    Measure(Measure),
     /// Asks a node what it knows of the others: a table, worst first.
     #[command(after_help = "Example: stonevane fleet status 127.0.0.1:7950")]
     Status(Ask),
@@ -61,6 +68,158 @@
     },
 }
 
+/// What is measured.
+#[derive(Args)]
+pub struct Measure {
+    /// Sizes of fleets.
+    #[arg(long, value_delimiter = ',', default_value = "16,64,300", value_parser = clap::value_parser!(u64).range(3..=2_000))]
+    members: Vec<u64>,
+    /// Parts of all datagrams that are lost.
+    #[arg(long, value_delimiter = ',', default_value = "0,0.1,0.3,0.5", value_parser = part)]
+    loss: Vec<f64>,
+    /// Parts of the members that run a tenth of their time.
+    #[arg(long, value_delimiter = ',', default_value = "0,0.1,0.3", value_parser = part)]
+    slow: Vec<f64>,
+    /// How long each fleet is simulated.
+    #[arg(long, default_value_t = 200, value_parser = clap::value_parser!(u64).range(60..=36_000))]
+    seconds: u64,
+    /// The first seed.
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// Also members that do not heed their own health.
+    #[arg(long)]
+    without_health: bool,
+    /// The table as CSV.
+    #[arg(long, value_name = "FILE")]
+    csv: Option<PathBuf>,
+    /// Time to detection and false deaths against loss, a curve for each size and part of slow members.
+    #[arg(long, value_name = "FILE.svg")]
+    chart: Option<PathBuf>,
+}
+
+/// A cell of the table: members, loss, slow, whether they heed their health; and two of its figures.
+type Measured = ((u64, f64, f64, bool), Option<u64>, f64);
+
+fn chart(cells: &[Measured]) -> String {
+    let mut lines: Vec<(u64, f64, bool)> =
+        cells.iter().map(|((m, _, slow, health), ..)| (*m, *slow, *health)).collect();
+    lines.dedup();
+    lines.sort_by(|one, other| one.partial_cmp(other).unwrap_or(std::cmp::Ordering::Equal));
+    lines.dedup();
+    let curves = |figure: &dyn Fn(&Measured) -> f64| -> Vec<Curve> {
+        let curve = |(at, line): (usize, &(u64, f64, bool))| {
+            let (members, slow, health) = *line;
+            let doubt = if health { "" } else { ", health unheeded" };
+            let mut points: Vec<(f64, f64)> = cells
+                .iter()
+                .filter(|((m, _, s, h), ..)| (*m, *s, *h) == (members, slow, health))
+                .map(|cell| (cell.0.1 * 100.0, figure(cell)))
+                .collect();
+            points.sort_by(|one, other| one.0.total_cmp(&other.0));
+            Curve {
+                name: format!("{members}, {:.0} % slow{doubt}", slow * 100.0),
+                colour: COLOURS[at % COLOURS.len()],
+                points,
+            }
+        };
+        lines.iter().enumerate().map(curve).collect()
+    };
+    let panel = |title: &str, unit, figure: &dyn Fn(&Measured) -> f64| Panel {
+        title: title.into(),
+        axes: ("datagrams lost, %", unit),
+        curves: curves(figure),
+        bound: None,
+    };
+    let most = cells.iter().map(|cell| cell.0.1 * 100.0).fold(1.0, f64::max);
+    let panels = [
+        panel("A death is seen by all after, s (median)", "s", &|cell| {
+            cell.1.map_or(f64::NAN, |us| us as f64 / 1e6)
+        }),
+        panel("False deaths an hour and member", "", &|cell| cell.2),
+    ];
+    picture("Membership, simulated", &panels, &[], most)
+}
+
+fn part(text: &str) -> Result<f64, String> {
+    let part: Option<f64> = text.parse().ok().filter(|part| (0.0..=1.0).contains(part));
+    part.ok_or_else(|| "a part from 0 to 1".into())
+}
+
+fn seconds(us: Option<u64>) -> String {
+    us.map_or("-".into(), |us| format!("{:.1}", us as f64 / 1e6))
+}
+
+impl Measure {
+    fn run(self) -> Result<bool, (String, u8)> {
+        let mut cells = Vec::new();
+        for (members, loss) in self.members.iter().flat_map(|m| self.loss.iter().map(move |loss| (*m, *loss)))
+        {
+            for slow in &self.slow {
+                cells.extend(
+                    [true, false][..1 + usize::from(self.without_health)]
+                        .iter()
+                        .map(|h| (members, loss, *slow, *h)),
+                );
+            }
+        }
+        let next = AtomicU64::new(0);
+        let rows: Mutex<Vec<(usize, Vec<String>)>> = Mutex::default();
+        let measured: Mutex<Vec<Measured>> = Mutex::default();
+        let work = || {
+            loop {
+                let at = next.fetch_add(1, Ordering::Relaxed) as usize;
+                let Some((members, loss, slow, heeds_health)) = cells.get(at).copied() else { return };
+                let length = self.seconds * 1_000_000;
+                let plan = MemberPlan::measured(self.seed + at as u64, members as usize, loss, slow, length);
+                let verdict = play(&MemberPlan { heeds_health, ..plan }, MemberOptions::default());
+                let figures = &verdict.figures;
+                let took = |times: &[u64], part| seconds(MembershipFigures::part(times, part));
+                let rate = figures.false_deaths as f64 / (verdict.member_s / 3_600.0).max(1e-9);
+                if let Ok(mut measured) = measured.lock() {
+                    measured.push((cells[at], MembershipFigures::part(&figures.last_us, 0.5), rate));
+                }
+                let row = vec![
+                    members.to_string(),
+                    loss.to_string(),
+                    slow.to_string(),
+                    heeds_health.to_string(),
+                    figures.deaths.to_string(),
+                    took(&figures.first_us, 0.5),
+                    took(&figures.first_us, 1.0),
+                    took(&figures.last_us, 0.5),
+                    took(&figures.last_us, 1.0),
+                    figures.last_us.len().to_string(),
+                    format!("{rate:.3}"),
+                    format!("{:.2}", verdict.datagrams as f64 / verdict.member_s.max(1e-9)),
+                    format!("{:.0}", verdict.bytes as f64 / verdict.member_s.max(1e-9)),
+                ];
+                warn!("  {} of {} done", rows.lock().map_or(0, |rows| rows.len() + 1), cells.len());
+                if let Ok(mut rows) = rows.lock() {
+                    rows.push((at, row));
+                }
+            }
+        };
+        let jobs = std::thread::available_parallelism().map_or(1, std::num::NonZero::get);
+        std::thread::scope(|scope| (0..jobs).for_each(|_| drop(scope.spawn(work))));
+        let mut rows = rows.into_inner().unwrap_or_default();
+        rows.sort();
+        let head = "members,loss,slow,health,deaths,first_s,first_most_s,all_s,all_most_s,seen_by_all,\
+                    false_deaths_an_hour_and_member,datagrams_a_s,bytes_a_s";
+        let lines: Vec<String> =
+            std::iter::once(head.to_owned()).chain(rows.into_iter().map(|(_, row)| row.join(","))).collect();
+        say!("{}", lines.join("\n"));
+        if let Some(file) = &self.csv {
+            let text = lines.join("\n") + "\n";
+            std::fs::write(file, text).map_err(|e| (format!("{}: {e}", file.display()), NOT_RUN))?;
+        }
+        if let Some(file) = &self.chart {
+            let picture = chart(&measured.into_inner().unwrap_or_default());
+            std::fs::write(file, picture).map_err(|e| (format!("{}: {e}", file.display()), NOT_RUN))?;
+        }
+        Ok(true)
+    }
+}
+
 /// Whom to ask.
 #[derive(Args)]
 pub struct Ask {
@@ -313,6 +472,7 @@
     pub fn run(self) -> ExitCode {
         let done = match self {
             Fleet::Simulate(simulate) => simulate.run(),
+            Fleet::Measure(measure) => measure.run(),
             Fleet::Status(ask) => ask.status(),
             Fleet::Watch { ask, every_ms, looks } => ask.watch(Duration::from_millis(every_ms), looks),
             Fleet::Explain { node, ask } => ask.explain(&node),
@@ -398,13 +558,9 @@
         let sum =
             |of: &dyn Fn(&MemberVerdict) -> f64| played.iter().map(|(_, verdict)| of(verdict)).sum::<f64>();
         let member_s = sum(&|v| v.member_s).max(1e-9);
-        let deaths = played.iter().flat_map(|(_, verdict)| &verdict.detections);
-        let last = |part: f64| {
-            let mut took: Vec<u64> = deaths.clone().filter_map(|(_, last)| *last).collect();
-            took.sort_unstable();
-            took.get(((took.len() as f64 - 1.0) * part) as usize)
-                .map_or("-".into(), |us| format!("{:.1}", *us as f64 / 1e6))
-        };
+        let deaths: Vec<u64> =
+            played.iter().flat_map(|(_, verdict)| verdict.figures.last_us.iter().copied()).collect();
+        let last = |part: f64| seconds(MembershipFigures::part(&deaths, part));
         warn!(
             "{member_s:.0} member-seconds in {:.1} s; {:.2} datagrams and {:.0} bytes a member and second; a death is \
              seen by all after {} s (median), {} s (95 in a hundred), {} s (all); {} false deaths seen",
@@ -414,7 +570,7 @@
             last(0.5),
             last(0.95),
             last(1.0),
-            sum(&|v| v.false_deaths as f64),
+            sum(&|v| v.figures.false_deaths as f64),
         );
         say!("{} seeds, {} failures", played.len(), failed.len());
         Ok(failed.is_empty())
--- a/crates/stonevane/src/lab.rs
+++ b/crates/stonevane/src/lab.rs
@@ -362,6 +362,25 @@
             server.falls
         );
     }
+    let members = &outcome.report.membership;
+    if members.views > 0 {
+        let part = |times: &[u64], part| {
+            let us = stonevane_audit::MembershipFigures::part(times, part);
+            us.map_or("-".into(), |us| format!("{:.1}", us as f64 / 1e6))
+        };
+        say!(
+            "\nmembership: {} views, {} deaths; seen by the first after {} s (median), {} s (most), by all after {} s, \
+             {} s ({} of them); {} false deaths",
+            members.views,
+            members.deaths,
+            part(&members.first_us, 0.5),
+            part(&members.first_us, 1.0),
+            part(&members.last_us, 0.5),
+            part(&members.last_us, 1.0),
+            members.last_us.len(),
+            members.false_deaths
+        );
+    }
     say!("");
     for expect in &outcome.expects {
         let found = expect.found.map_or("nothing to measure".into(), |found| format!("{found:.4}"));
--- a/crates/stonevane/tests/fleet.rs
+++ b/crates/stonevane/tests/fleet.rs
@@ -55,7 +55,7 @@
         runs.into_iter().map(|(mutant, run)| (mutant, run.join().unwrap())).collect()
     });
     for (mutant, (codes, json)) in played {
-        assert!(json["report"]["views"].as_u64().unwrap() > 50);
+        assert!(json["report"]["membership"]["views"].as_u64().unwrap() > 50);
         // Old datagrams change nothing, and what one passes on the others do as well: neither does harm.
         let harmless = matches!(mutant, None | Some("replays" | "forwards-nothing"));
         assert_eq!(codes.is_empty(), harmless, "{mutant:?}: {codes:?}");
@@ -75,7 +75,7 @@
         assert_eq!(json["report"]["broken"], 0, "{more:?}: {:#}", json["report"]["findings"]);
         let classes: Vec<_> = json["summary"]["classes"].as_object().unwrap().values().cloned().collect();
         let sum = |key: &str| classes.iter().map(|class| class[key].as_u64().unwrap()).sum::<u64>() as f64;
-        (sum("served") / sum("asked"), json["report"]["views"].as_u64().unwrap())
+        (sum("served") / sum("asked"), json["report"]["membership"]["views"].as_u64().unwrap())
     };
     let ((on, views), (off, none)) = std::thread::scope(|scope| {
         let off = scope.spawn(|| served(&["--without-fleet"]));
