One exit code for sim and fleet commands; a plainer loop over faults

Read again: the same match stood in stonevane sim and stonevane fleet, and the simulation numbered its faults through two maps.

--- a/crates/stonevane-sim/src/members/world.rs
+++ b/crates/stonevane-sim/src/members/world.rs
@@ -429,8 +429,8 @@
         let at = world.rng.rand_range(0..plan.starts.max(1));
         world.push(at, Due::Start(member));
     }
-    for (at, fault) in plan.faults.iter().map(|fault| fault.at).enumerate().map(|(fault, at)| (at, fault)) {
-        world.push(at, Due::Begin(fault));
+    for (number, fault) in plan.faults.iter().enumerate() {
+        world.push(fault.at, Due::Begin(number));
     }
     world.push(PERIOD / 2, Due::Look);
     while let Some(Reverse((at, _, due))) = world.queue.pop() {
--- a/crates/stonevane/src/fleet.rs
+++ b/crates/stonevane/src/fleet.rs
@@ -17,7 +17,7 @@
 use stonevane_sim::members::{MemberOptions, MemberPlan, MemberVerdict, play, shrink_members};
 
 use crate::sim::seeds;
-use crate::{BROKEN, NOT_RUN, UNUSABLE};
+use crate::{NOT_RUN, UNUSABLE, ended};
 
 /// The longest answer of a node, in bytes.
 const MOST_TOLD: u64 = 8 << 20;
@@ -477,14 +477,7 @@
             Fleet::Watch { ask, every_ms, looks } => ask.watch(Duration::from_millis(every_ms), looks),
             Fleet::Explain { node, ask } => ask.explain(&node),
         };
-        match done {
-            Ok(true) => ExitCode::SUCCESS,
-            Ok(false) => ExitCode::from(BROKEN),
-            Err((what, code)) => {
-                warn!("stonevane: {what}");
-                ExitCode::from(code)
-            }
-        }
+        ended(done)
     }
 }
 
--- a/crates/stonevane/src/main.rs
+++ b/crates/stonevane/src/main.rs
@@ -106,6 +106,18 @@
 /// Exit code: it could not be run to its end.
 const NOT_RUN: u8 = 3;
 
+/// The exit code of a command that says whether all holds, or why it could not.
+fn ended(done: Result<bool, (String, u8)>) -> ExitCode {
+    match done {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::from(BROKEN),
+        Err((what, code)) => {
+            warn!("stonevane: {what}");
+            ExitCode::from(code)
+        }
+    }
+}
+
 /// Reads a file, or says in one line why it can't be.
 fn read(file: &std::path::Path) -> Result<String, ExitCode> {
     std::fs::read_to_string(file).map_err(|e| {
--- a/crates/stonevane/src/sim.rs
+++ b/crates/stonevane/src/sim.rs
@@ -9,7 +9,7 @@
 use clap::{Args, Subcommand};
 use stonevane_sim::{Mutant, Options, Plan, Verdict, run, shrink};
 
-use crate::{BROKEN, NOT_RUN, UNUSABLE};
+use crate::{NOT_RUN, UNUSABLE, ended};
 
 /// Progress is told this often.
 const TELL: Duration = Duration::from_secs(2);
@@ -127,14 +127,7 @@
                 Ok(true)
             }
         };
-        match done {
-            Ok(true) => ExitCode::SUCCESS,
-            Ok(false) => ExitCode::from(BROKEN),
-            Err((what, code)) => {
-                warn!("stonevane: {what}");
-                ExitCode::from(code)
-            }
-        }
+        ended(done)
     }
 }
 
