Take a newer list of peers at SIGHUP; hear what an older list can know of

Played with the machine: whoever has a shorter list refused every datagram that spoke of a member beyond it, the rest of its news with it (Message::read, Refused::Form), and a node that reads [fleet] read `peers` once, at its start.

Change: records of members that are not listed are left out and the others heard; SIGHUP takes moved addresses and more members (fewer are not taken: numbers are for good).

--- a/crates/stonevane-fleet/src/machine.rs
+++ b/crates/stonevane-fleet/src/machine.rs
@@ -87,6 +87,8 @@
     Datagram(Number, &'b [u8]),
     /// Nothing but time.
     Wake,
+    /// A newer list of peers names so many members. Numbers are for good: a list of fewer changes nothing.
+    Members(Number),
     /// The process is to end.
     Leave,
 }
@@ -328,12 +330,22 @@
         match input {
             Input::Datagram(from, bytes) => self.datagram(now, from, bytes, out),
             Input::Wake => {}
+            Input::Members(members) => self.grow(members),
             Input::Leave => self.leave(now, out),
         }
         self.work(now, out);
         self.due = self.soonest();
     }
 
+    /// More members than were known of: they are spoken to as those are that have never been heard.
+    fn grow(&mut self, members: Number) {
+        if members > self.setup.members {
+            self.setup.members = members;
+            self.rows.resize(usize::from(members), Row::default());
+            self.spread.grow(members);
+        }
+    }
+
     // What it is.
 
     fn me(&self) -> Record {
--- a/crates/stonevane-fleet/src/spread.rs
+++ b/crates/stonevane-fleet/src/spread.rs
@@ -19,6 +19,11 @@
         Spread { queue: BTreeSet::new(), gone: vec![None; usize::from(members)] }
     }
 
+    /// There are so many now.
+    pub fn grow(&mut self, members: Number) {
+        self.gone.resize(usize::from(members).max(self.gone.len()), None);
+    }
+
     /// There is news of a member.
     pub fn fresh(&mut self, member: Number) {
         self.take(member);
--- a/crates/stonevane-fleet/src/wire.rs
+++ b/crates/stonevane-fleet/src/wire.rs
@@ -259,10 +259,14 @@
             message.records.push(Record { member, life, incarnation, state, by });
         }
         let known = |number: Number| number < members;
-        let named = message.records.iter().all(|record| known(record.member) && known(record.by));
-        if !named || !known(message.from) || !known(message.to) || !known(message.about) {
+        if !known(message.from) || !known(message.to) || !known(message.about) {
             return Err(Refused::Form);
         }
+        // One with a newer list of peers speaks of members that this one has not been told of: what it says of the
+        // others is heard. A new member's accusation is its sender's.
+        message.records.retain(|record| known(record.member));
+        let from = message.from;
+        message.records.iter_mut().filter(|record| !known(record.by)).for_each(|record| record.by = from);
         Ok(message)
     }
 }
@@ -327,6 +331,21 @@
     proptest! {
         #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::default() })]
 
+        /// Whoever has an older list of peers hears all that is said of those in it, and nothing of others.
+        #[test]
+        fn what_is_said_of_members_that_are_not_in_an_older_list_is_left_out(message in message(), listed in 1..50u16) {
+            let known = |number: u16| number < listed;
+            let read = Message::read(&message.bytes(None), None, listed);
+            if !known(message.from) || !known(message.to) || !known(message.about) {
+                prop_assert_eq!(read, Err(Refused::Form));
+            } else {
+                let mut heard = message.clone();
+                heard.records.retain(|record| known(record.member));
+                heard.records.iter_mut().filter(|r| !known(r.by)).for_each(|r| r.by = message.from);
+                prop_assert_eq!(read, Ok(heard));
+            }
+        }
+
         #[test]
         fn what_is_written_is_read_and_no_longer_than_a_datagram(message in message(), key in any::<Option<[u8; 32]>>()) {
             let bytes = message.bytes(key.as_ref());
--- a/crates/stonevane-fleet/tests/machine.rs
+++ b/crates/stonevane-fleet/tests/machine.rs
@@ -107,6 +107,31 @@
     }
 }
 
+#[test]
+fn one_with_an_older_list_of_peers_holds_its_place_and_learns_the_rest_when_it_is_told() {
+    // The last of them was told of four members only.
+    let listed = |me: u16| setup(me, if me == 3 { 4 } else { 6 });
+    let mut fleet = Fleet::new((0..6).map(listed).collect());
+    // It does not know their addresses, nor they, who have the newer list, its answers' sender: theirs reach it.
+    fleet.cut = Box::new(|from, to| (from == 3 && to > 3) || (from > 3 && to == 3));
+    fleet.run(30 * S);
+    let refused = |fleet: &Fleet| fleet.machine(3).status().counts.refused_form;
+    assert_eq!(refused(&fleet), 0, "what the others say of the new ones costs it nothing else");
+    let views = fleet.views();
+    assert_eq!(views[3], "aaaa??");
+    assert!((0..6).filter(|m| *m != 3).all(|m| views[m] == "aaaaaa"), "{views:?}");
+    let bytes = |fleet: &Fleet| fleet.machine(3).status().counts.sent_bytes;
+    let before = bytes(&fleet);
+    fleet.run(60 * S);
+    let per_s = (bytes(&fleet) - before) / 30;
+    assert!(per_s < 2_000, "tables that can't become equal cost {per_s} bytes a second");
+    fleet.cut = Box::new(|_, _| false);
+    fleet.tell(3, Input::Members(6));
+    fleet.tell(3, Input::Members(2));
+    fleet.run(75 * S);
+    assert_eq!(fleet.views(), ["aaaaaa"; 6]);
+}
+
 #[test]
 fn members_find_each_other_and_a_dead_one_is_seen_by_all() {
     let mut fleet = Fleet::of(5);
--- a/crates/stonevane-lab/src/nodes.rs
+++ b/crates/stonevane-lab/src/nodes.rs
@@ -206,6 +206,18 @@
         self.line(Span { begun: now, ended: now }, if slowed { "slowed" } else { "steady" });
     }
 
+    /// Writes its configuration anew and has it read it.
+    ///
+    /// # Errors
+    /// Where the file can't be written.
+    pub fn reload(&self, config: &str) -> io::Result<()> {
+        std::fs::write(self.folder.join(format!("{}.json", self.name)), config)?;
+        self.signal(Signal::HUP);
+        let now = Mono::now();
+        self.line(Span { begun: now, ended: now }, "reloaded");
+        Ok(())
+    }
+
     /// Asks it to end.
     pub fn term(&mut self) {
         let begun = Mono::now();
--- a/crates/stonevane-node/src/fleet.rs
+++ b/crates/stonevane-node/src/fleet.rs
@@ -37,39 +37,49 @@
 }
 
 impl Part {
-    /// Reads it from the configuration.
+    /// The addresses of a newer configuration, each at its number's place.
     ///
     /// # Errors
     /// A line for each thing that is wrong.
-    pub fn new(told: &operator::Fleet, config: &Config) -> Result<Part, Vec<String>> {
+    pub fn addresses(config: &Config) -> Result<Vec<SocketAddr>, Vec<String>> {
         let mut wrong = Vec::new();
-        let mut address = |what: &str, text: &str| {
-            let address: Option<SocketAddr> = text.parse().ok();
-            if address.is_none() {
-                wrong.push(format!("[fleet]: unusable {what} in the configuration: {text:?}"));
+        let mut places: HashMap<SocketAddr, usize> = HashMap::new();
+        let mut peers = Vec::with_capacity(config.peers.len());
+        for (number, text) in config.peers.iter().enumerate() {
+            let Ok(peer) = text.parse::<SocketAddr>() else {
+                wrong.push(format!("[fleet]: unusable peers[{number}] in the configuration: {text:?}"));
+                continue;
+            };
+            if let Some(first) = places.insert(peer, number) {
+                wrong.push(format!("[fleet]: `peers` names {peer} twice, as {first} and {number}"));
             }
-            address
-        };
-        let listen = address("peer_listen", &config.peer_listen);
-        let numbered = config.peers.iter().enumerate();
-        let peers: Vec<_> =
-            numbered.filter_map(|(number, text)| address(&format!("peers[{number}]"), text)).collect();
+            peers.push(peer);
+        }
         let me = config.deployment.settings.me;
         if !(1..=MOST).contains(&config.peers.len()) {
             wrong.push(format!("[fleet]: `peers` names {} nodes; 1 to {MOST}", config.peers.len()));
         } else if me as usize >= config.peers.len() {
-            wrong.push(format!(
-                "[fleet]: this node has number {me}, and `peers` names {}",
-                config.peers.len()
-            ));
+            let count = config.peers.len();
+            wrong.push(format!("[fleet]: this node has number {me}, and `peers` names {count}"));
         }
-        let mut places: HashMap<SocketAddr, usize> = HashMap::new();
-        for (number, peer) in peers.iter().enumerate() {
-            if let Some(first) = places.insert(*peer, number) {
-                wrong.push(format!("[fleet]: `peers` names {peer} twice, as {first} and {number}"));
+        if wrong.is_empty() { Ok(peers) } else { Err(wrong) }
+    }
+
+    /// Reads it from the configuration.
+    ///
+    /// # Errors
+    /// A line for each thing that is wrong.
+    pub fn new(told: &operator::Fleet, config: &Config) -> Result<Part, Vec<String>> {
+        let listen = config.peer_listen.parse::<SocketAddr>().map_err(|_| {
+            format!("[fleet]: unusable peer_listen in the configuration: {:?}", config.peer_listen)
+        });
+        let (listen, peers) = match (listen, Part::addresses(config)) {
+            (Ok(listen), Ok(peers)) => (listen, peers),
+            (listen, peers) => {
+                return Err(listen.err().into_iter().chain(peers.err().into_iter().flatten()).collect());
             }
-        }
-        let Some(listen) = listen.filter(|_| wrong.is_empty()) else { return Err(wrong) };
+        };
+        let me = config.deployment.settings.me;
         let micros = |time: Duration| time.as_micros() as Micros;
         let setup = Setup {
             me: me as u16,
@@ -92,14 +102,19 @@
 struct Inner {
     machine: Machine,
     outputs: Outputs,
+    peers: Vec<SocketAddr>,
+    numbers: HashMap<SocketAddr, u16>,
+}
+
+/// The number of each, by its address.
+fn numbers(peers: &[SocketAddr]) -> HashMap<SocketAddr, u16> {
+    peers.iter().enumerate().map(|(number, peer)| (*peer, number as u16)).collect()
 }
 
 /// This node among the others.
 pub struct Fleet {
     inner: Mutex<Inner>,
     socket: UdpSocket,
-    peers: Vec<SocketAddr>,
-    numbers: HashMap<SocketAddr, u16>,
     period: Micros,
     clock: Clock,
     /// Datagrams from addresses that are none of the peers', and such that the machine did not take.
@@ -118,17 +133,15 @@
         let socket = UdpSocket::bind(listen).await;
         let socket =
             socket.map_err(|e| std::io::Error::new(e.kind(), format!("peer_listen {listen}: {e}")))?;
-        let numbers = peers.iter().enumerate().map(|(number, peer)| (*peer, number as u16)).collect();
         // One line for each change of state; the node's own log stays as it is.
         let _ = tracing_subscriber::fmt().with_writer(std::io::stderr).with_ansi(false).try_init();
         tracing::info!(me = setup.me, members = setup.members, %listen, keyed = setup.key.is_some(), "fleet");
         let period = setup.period;
-        let inner = Inner { machine: Machine::new(clock.now(), setup), outputs: Outputs::default() };
+        let machine = Machine::new(clock.now(), setup);
+        let inner = Inner { machine, outputs: Outputs::default(), numbers: numbers(&peers), peers };
         Ok(Arc::new(Fleet {
             inner: Mutex::new(inner),
             socket,
-            peers,
-            numbers,
             period,
             clock,
             strangers: AtomicU64::new(0),
@@ -169,6 +182,31 @@
         }
     }
 
+    /// Takes the list of peers of a newer configuration: members that have moved are spoken to where they are now, new
+    /// ones as such that were never heard. Numbers are for good, so that a list of fewer is not taken.
+    ///
+    /// # Errors
+    /// What is wrong with it, a line for each thing; the old list stays.
+    pub fn readdress(&self, config: &Config) -> Result<(), Vec<String>> {
+        let peers = Part::addresses(config)?;
+        let before = {
+            let mut inner = self.lock();
+            if peers.len() < inner.peers.len() {
+                let (now, before) = (peers.len(), inner.peers.len());
+                return Err(vec![format!("[fleet]: `peers` names {now} nodes, and named {before} before")]);
+            }
+            inner.numbers = numbers(&peers);
+            std::mem::replace(&mut inner.peers, peers.clone())
+        };
+        let moved = before.iter().zip(&peers).filter(|(before, now)| before != now).count();
+        if moved > 0 || before.len() < peers.len() {
+            tracing::info!(members = peers.len(), moved, "peers");
+            self.tell(Heard::Members(peers.len() as u16));
+            self.changed.notify_one();
+        }
+        Ok(())
+    }
+
     /// Says that this node ends.
     pub fn leave(&self) {
         self.tell(Heard::Leave);
@@ -180,8 +218,9 @@
         let mut scratch = [0; SCRATCH];
         for _ in 0..TURN.0 {
             let Ok((length, from)) = self.socket.try_recv_from(&mut scratch) else { return false };
-            match self.numbers.get(&from) {
-                Some(number) => self.tell(Heard::Datagram(*number, &scratch[..length])),
+            let number = self.lock().numbers.get(&from).copied();
+            match number {
+                Some(number) => self.tell(Heard::Datagram(number, &scratch[..length])),
                 None => drop(self.strangers.fetch_add(1, Ordering::Relaxed)),
             }
         }
@@ -194,7 +233,7 @@
         let inner = &mut *inner;
         inner.machine.handle(self.clock.now(), heard, &mut inner.outputs);
         while let Some((to, bytes)) = inner.outputs.sends.pop_front() {
-            let peer = self.peers[usize::from(to)];
+            let peer = inner.peers[usize::from(to)];
             if self.socket.try_send_to(&bytes, peer).is_err() {
                 self.unsent.fetch_add(1, Ordering::Relaxed);
             }
@@ -219,16 +258,16 @@
         let inner = self.lock();
         if brief {
             let letter = |member| inner.machine.state(member).map_or("?", |state| &state.name()[..1]);
-            let view: String = (0..self.peers.len() as u16).map(letter).collect();
+            let view: String = (0..inner.peers.len() as u16).map(letter).collect();
             return json!({ "view": view }).to_string();
         }
-        let status = inner.machine.status();
+        let (status, peers) = (inner.machine.status(), inner.peers.clone());
         drop(inner);
         let ago = |at: Option<Micros>| at.map(|at| now.saturating_sub(at) / 1_000);
         let member = |entry: &MemberStatus| -> Value {
             let record = entry.record;
             json!({
-                "member": entry.member, "address": self.peers[usize::from(entry.member)].to_string(),
+                "member": entry.member, "address": peers[usize::from(entry.member)].to_string(),
                 "state": entry.state.map_or("unknown", State::name), "for_ms": ago(record.map(|_| entry.since)),
                 "by": record.map(|r| r.by), "generation": record.map(|r| r.life.generation),
                 "life": record.map(|r| r.life.draw), "incarnation": record.map(|r| r.incarnation),
--- a/crates/stonevane-node/src/lib.rs
+++ b/crates/stonevane-node/src/lib.rs
@@ -108,6 +108,7 @@
     if let Some(listener) = management {
         tokio::spawn(management::serve(listener, driver.clone()));
     }
+    let told_peers = fleet.clone();
     let signals = driver.clone();
     let looks = beside.as_ref().map(|(_, at_once)| at_once.clone());
     tokio::spawn(async move {
@@ -127,6 +128,10 @@
         while hangup.recv().await.is_some() {
             match Config::again(&last) {
                 Ok(again) => {
+                    for line in told_peers.iter().filter_map(|fleet| fleet.readdress(&again).err()).flatten()
+                    {
+                        log(&format!("reload: {line}; the old peers stay"));
+                    }
                     last = again.text;
                     let classes = again.deployment.classes.join(", ");
                     log(&format!("reload: discovery is at {}, classes are {classes}", again.discovery));
