Hold back lives that start together, and a slow origin's fetches, whatever the number of nodes

Need: all nodes killed at once and back after 1 s; with 64 nodes edits fail and caches get 2 to 2.7 times what they can do, with 4 they don't. Lines at fault, each a figure of a node whose sum grows with N: the two answers that each server is credited with (PRIOR: 2 x 12 out from each life), REPEATS.1 (a full budget of 5 copies at a start), and the gate's floor (a fetch of each node out however slow the origin is: 64 hold its queue over an edit's 300 ms for ten seconds after a third of the caches came back cold). Ruled out: quota buckets, handshakes, calls for lists.

Change, in the module: a life without answers has its part of 8 attempts at each cache out, more with each answer in time, and twice as many in each aim; copies take such a place too; a start has one copy; who is refused by it is told to come back spread over half of its time. Where the origin is slow, a node's one fetch waits as long as the pace says, down to 8 out from all nodes; edits are not held. `[start]` of the operator file; `--without-ramp` is the control.

--- a/crates/stonevane-config/src/operator.rs
+++ b/crates/stonevane-config/src/operator.rs
@@ -199,6 +199,26 @@
     }
 }
 
+/// How a node begins; owned by the decision module.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Start {
+    /// Attempts at each cache server that all nodes together may have out when they start; 0: as many as come.
+    pub each: f64,
+}
+
+impl Default for Start {
+    fn default() -> Self {
+        Start { each: 8.0 }
+    }
+}
+
+impl Start {
+    fn read(table: &Table<'_, '_>) -> Start {
+        let each = table.number("each", Start::default().each, 0.1..=10_000.0);
+        Start { each: if table.flag("ramp", true) { each } else { 0.0 } }
+    }
+}
+
 /// Membership among the nodes; owned by the fleet.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Fleet {
@@ -256,6 +276,8 @@
     pub clients: Clients,
     /// `[servers]`.
     pub servers: Servers,
+    /// `[start]`.
+    pub start: Start,
     /// `[store]`; `None`: the origin is a server of the list.
     pub store: Option<Store>,
     /// `[fleet]`; `None`: nodes send one another nothing.
@@ -284,6 +306,10 @@
             operator.servers.rest = Duration::from_millis(table.integer("rest_ms", base, 0..=1_000));
             table.finish();
         }
+        if let Some(table) = root.table("start") {
+            operator.start = Start::read(&table);
+            table.finish();
+        }
         if let Some(table) = root.table("store") {
             operator.store = Some(Store::read(&table));
             table.finish();
--- a/crates/stonevane-config/tests/faults.rs
+++ b/crates/stonevane-config/tests/faults.rs
@@ -88,6 +88,14 @@
 fn what_is_set_is_in_force() {
     let set = Operator::parse("[servers]\nrest_ms = 0x10\n").unwrap();
     assert_eq!(set.servers, Servers { rest: std::time::Duration::from_millis(16) });
+    let start = |text: &str| Operator::parse(text).map(|operator| operator.start.each);
+    assert_eq!(start(""), Ok(8.0));
+    assert_eq!(start("[start]\neach = 2.5\n"), Ok(2.5));
+    assert_eq!(start("[start]\neach = 2.5\nramp = false\n"), Ok(0.0));
+    let none = start("[start]\neach = 0\nramp = 1\n").unwrap_err();
+    let lines: Vec<_> = none.iter().map(ToString::to_string).collect();
+    assert_eq!(lines[0], "line 2, column 8: `each` is to be from 0.1 to 10000");
+    assert!(lines.len() == 2 && lines[1].starts_with("line 3, column 8: `ramp`"), "{lines:?}");
 }
 
 proptest! {
--- a/crates/stonevane-core/src/node.rs
+++ b/crates/stonevane-core/src/node.rs
@@ -1454,6 +1454,7 @@
         // How lists come is the platform's build, and changes with a new process only.
         deployment.settings.ask_discovery = before.settings.ask_discovery;
         deployment.settings.shares_fetches = before.settings.shares_fetches;
+        deployment.settings.start_each = before.settings.start_each;
         let tenants = deployment.tenants.iter().map(|name| before.tenants.iter().position(|was| was == name));
         let tenants = tenants.collect();
         let moved = before.zones != deployment.zones
--- a/crates/stonevane-lab/src/run.rs
+++ b/crates/stonevane-lab/src/run.rs
@@ -32,6 +32,8 @@
     pub kind: Kind,
     /// Whether nodes know nothing of one another, whatever the scenario says: the control.
     pub without_fleet: bool,
+    /// Whether nodes that start together don't hold back: the control.
+    pub without_ramp: bool,
     /// Where the history is kept; else it goes when the verdict is there.
     pub history: Option<PathBuf>,
     /// Whether progress goes to standard error.
@@ -48,6 +50,7 @@
             short: false,
             kind,
             without_fleet: false,
+            without_ramp: false,
             history: None,
             progress: false,
         }
@@ -129,6 +132,7 @@
         scenario.nodes = nodes;
     }
     scenario.load.per_s *= options.load.unwrap_or(1.0);
+    scenario.ramp &= !options.without_ramp;
     if options.without_fleet {
         scenario.membership = None;
     }
--- a/crates/stonevane-lab/src/summary.rs
+++ b/crates/stonevane-lab/src/summary.rs
@@ -326,6 +326,7 @@
             "origin_peak" => servers(true, &|s| s.peak),
             "origin_falls" => falls(true),
             "cache_falls" => falls(false),
+            "cache_peak" => servers(false, &|s| s.peak),
             "cold_peak" => servers(false, &|s| s.cold_peak),
             "edits_run_twice" => report.tokens_run_twice as f64,
             "recovery_ms" => self.recovery_ms?,
--- a/crates/stonevane/src/lab.rs
+++ b/crates/stonevane/src/lab.rs
@@ -85,6 +85,9 @@
     /// Nodes know nothing of one another, whatever the scenario says: the control.
     #[arg(long)]
     without_fleet: bool,
+    /// Nodes that start together don't hold back: the control.
+    #[arg(long)]
+    without_ramp: bool,
     /// A member in a node's place that breaks a rule of membership (`fleet simulate --mutants` lists them), to see it
     /// caught.
     #[arg(long, value_name = "MUTANT", value_parser = crate::fleet::mutant)]
@@ -284,6 +287,7 @@
             short: self.short,
             kind,
             without_fleet: self.without_fleet,
+            without_ramp: self.without_ramp,
             history: self.history.clone(),
             progress: true,
         };
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -28,6 +28,9 @@
 const GATE_FETCHES: f64 = 0.7;
 /// Gate: factor on the outstanding cap at a sign of congestion, and its floor as a part of the ceiling.
 const GATE_CUT: (f64, f64) = (0.8, 0.1);
+/// Gate: fetches of all balancers together that stay out however slow the origin is: one of many holds its
+/// single one back for a time.
+const GATE_LEAST: f64 = 8.0;
 /// Gate: an origin answer later than this part of the shortest aim is a congestion signal.
 const ORIGIN_SLOW: f64 = 0.8;
 /// Postponement: the note's 1 to 3 s against its bound of 60 s, taken as parts of the request's aim.
@@ -41,8 +44,9 @@
 const STRIKES: u32 = 3;
 /// A server is set aside for this multiple of the longest aim, doubled each time up to the second figure.
 const ASIDE: (u64, u64) = (1, 8);
-/// Repeats of what may have run, and second copies, as a part of the requests, and how many at once.
-const REPEATS: (f64, f64) = (0.05, 5.0);
+/// Repeats of what may have run, and second copies, as a part of the requests, how many at the start of a
+/// life, where many may start together, and how many at once.
+const REPEATS: (f64, f64, f64) = (0.05, 1.0, 5.0);
 /// What a repeat costs of that after an error that came in time: the server has ended with the request.
 const QUICK_ERROR: f64 = 0.2;
 /// Signs of overload in each attempt (turned away or nearly late is one, slow a half) from which tenants are
@@ -65,6 +69,11 @@
 /// call of each in about that time, and works calls off in turn, those too that have waited for too long. Two
 /// come soon, since what it has to tell counts as told before long.
 const ASK_AGAIN: [(f64, f64); 3] = [(0.03, 0.5), (0.2, 0.4), (0.25, 0.5)];
+/// Start of a life: attempts more that it may have out for each answer in time. Where that holds up, it
+/// grows by a quarter while an answer comes.
+const RAMP: f64 = 0.25;
+/// Who is refused by the start of a life comes back within this part of its time, spread: many are at once.
+const RAMP_BACK: f64 = 0.5;
 /// A server put back by hand that none of its keys has come by for so long gets the next read.
 const BACK: Micros = 1_000_000;
 /// A key is hot that was asked for before among so many requests here: a part of all, whatever N is.
@@ -81,8 +90,10 @@
             ..Policy::default()
         };
         policy.adopt(settings, &[]);
+        policy.ramp.0 = unit_hash(seed, policy.settings.me, 3);
         // Calls of an earlier life of this balancer may still run: the gate opens gradually.
         policy.gate.limit = policy.gate_out() / 2.0;
+        policy.gate.pace = 1.0;
         policy.wake(0, Wake::Subscribe);
         policy.wake(0, Wake::Review);
         policy
@@ -116,6 +127,9 @@
     /// Takes one event at a clock value and adds the actions that it calls for.
     pub fn handle(&mut self, now: Micros, event: Event, out: &mut Vec<Action>) {
         self.now = now;
+        if self.born == 0 {
+            self.born = now;
+        }
         match event {
             Event::ServerList { kind: ListKind::Failed, .. } => self.discovery_failed(out),
             Event::ServerList { kind, servers } => self.server_list(kind, servers),
@@ -172,7 +186,7 @@
             ..Held::default()
         };
         held.aim_at = (self.now + held.class.aim).saturating_sub(margin);
-        self.repeats = (self.repeats + REPEATS.0).min(REPEATS.1);
+        self.repeats = (self.repeats + REPEATS.0).min(REPEATS.2);
         self.recent.push_front(r.key);
         self.recent.truncate(HOT);
         let (ends, aim_at) = (held.ends, self.useful_until(&held));
@@ -217,11 +231,30 @@
         if h.write || h.missed {
             return self.origin_call(id, out);
         }
+        if !self.ramped() {
+            let left = self.useful_until(h).saturating_sub(self.now) as f64;
+            let spread = left * RAMP_BACK * self.rng.unit();
+            if let Some(h) = self.held.get_mut(&id) {
+                h.back_after = spread as Micros;
+            }
+            return self.end(id, out);
+        }
         if !self.pick(id).is_some_and(|server| self.send(id, server, Call::Cache, out)) {
             self.end(id, out);
         }
     }
 
+    /// Against a fleet that starts all at once: what lives that know nothing have out adds up to what all may
+    /// have at the servers, however many balancers there are. It doubles in each aim, so that a share below one
+    /// opens, and one that was idle is soon held to nothing.
+    fn ramped(&self) -> bool {
+        let all = self.settings.start_each * f64::from(self.caches);
+        let share = all / f64::from(self.settings.balancers.max(1));
+        let aged = self.now.saturating_sub(self.born) as f64 / self.aim as f64;
+        let window = (share + self.ramp.0) * aged.exp2() + self.ramp.1 * RAMP;
+        self.settings.start_each <= 0.0 || f64::from(self.cache_out + 1) <= window
+    }
+
     /// How many attempts a request may make: no more than when it came, nor than now.
     fn most(&self, h: &Held) -> u32 {
         h.most.min(self.settings.max_attempts)
@@ -360,7 +393,9 @@
         let room = |count: u32, limit: f64| f64::from(count + 1) <= limit.max(1.0);
         let open =
             |i: usize, part: f64| room(g.out[i], g.limit.min(most) * part) && room(g.tally[i], tally * part);
-        let open = open(0, 1.0) && (call == Call::Write || open(1, GATE_FETCHES));
+        // A share below one is a single fetch after a time.
+        let paced = g.pace >= 1.0 || (g.out[1] == 0 && self.now >= g.fetch_at);
+        let open = open(0, 1.0) && (call == Call::Write || (paced && open(1, GATE_FETCHES)));
         self.gate.pressed.add(f64::from(u8::from(!open)), 1.0);
         open
     }
@@ -549,6 +584,9 @@
             Status::NotSent | Status::Cancelled => {}
             _ => {
                 let sample = (self.now - flight.sent) as f64 / (1.0 + s.held_per_core());
+                if self.now - flight.sent < flight.slow_after {
+                    self.ramp.1 += 1.0;
+                }
                 if o.status == Status::Served {
                     self.service += if self.service == 0.0 { 1.0 } else { 0.1 } * (sample - self.service);
                 }
@@ -578,9 +616,16 @@
         }
         let most = self.gate_out();
         let slow = self.now - flight.sent > (self.origin_aim as f64 * ORIGIN_SLOW) as Micros;
+        let (least, jitter) = (GATE_LEAST / f64::from(self.settings.balancers.max(1)), self.rng.unit());
         let g = &mut self.gate;
         g.leave(flight.call);
         let was = g.limit;
+        // Against many balancers whose single fetches keep the origin's queue so long that writes are late.
+        if flight.call == Call::Fetch && o.status != Status::NotSent {
+            g.pace = if !slow { 2.0 * g.pace } else { 0.5 * g.pace }.clamp(least.min(1.0), 1.0);
+            let took = (self.now - flight.sent) as f64;
+            g.fetch_at = self.now + (took * (1.0 / g.pace - 1.0) * (0.5 + jitter)) as Micros;
+        }
         // What it answered can't be read, but it answered: no sign of congestion. Nor is a broken connection.
         if matches!(o.status, Status::Served | Status::Spoilt) && !slow {
             g.limit = (g.limit + 1.0 / g.limit).min(most);
@@ -657,9 +702,11 @@
     /// Against a slow or silent server, of which one of many balancers sees too little to avoid it: a read
     /// that waits long is sent to the next server too. Where it sees enough, a copy would only add a fetch.
     fn hedge(&mut self, id: RequestId, server: ServerId, out: &mut Vec<Action>) {
+        let starts = !self.ramped(); // What it waits for is the crowd of a start, and no sign of this server.
         let Some(h) = self.held.get_mut(&id).filter(|h| h.out == 1 && !h.missed) else { return };
         let known = self.servers.get(&server).is_some_and(|s| s.answered_lately(self.now, self.aim) >= PRIOR);
-        if known || h.class.effect != Effect::Safe || !self.settings.may_duplicate || self.repeats < 1.0 {
+        let may = h.class.effect == Effect::Safe && self.settings.may_duplicate && self.repeats >= 1.0;
+        if starts || known || !may {
             return;
         }
         h.tried.push(server);
@@ -687,6 +734,7 @@
         let charged = h.charged.filter(|_| self.level >= LEVEL.1);
         charged.and_then(|tenant| self.senders.get_mut(tenant)).into_iter().for_each(Bucket::give_back);
         let (class, harmless) = (h.class, h.may_have_run.is_empty());
+        let back_after = h.back_after;
         // A refused client is told to come back after the delay of a blocked call, random as that is: told to
         // wait for longer it comes back too late, and its answer takes another's place.
         out.push(match class.effect == Effect::Safe || harmless {
@@ -694,7 +742,8 @@
                 // Nor before an origin that has stopped may be called again.
                 let shut =
                     if h.missed || h.write { self.gate.shut_until.saturating_sub(self.now) } else { 0 };
-                let retry_after = (shut + self.delay(class)).min(self.settings.max_retry_after);
+                let retry_after =
+                    (shut + self.delay(class).max(back_after)).min(self.settings.max_retry_after);
                 Action::Refuse { request: id, retry_after }
             }
             false => Action::Fail(id),
@@ -736,6 +785,7 @@
 
     fn weigh(&mut self) {
         self.total = self.ready(false).map(|s| self.weight(s)).sum::<f64>().max(0.01);
+        self.caches = self.ready(false).count() as u32;
     }
 
     /// A person takes a server out or puts it back: that holds whatever lists say. Put back, what is known of
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -48,6 +48,9 @@
     pub may_tell_peers: bool,
     /// Whether fetches of a key that are out at once share one call to the origin.
     pub shares_fetches: bool,
+    /// Attempts at each cache server that all balancers together may have out when they start, before answers tell
+    /// them more; 0: as many as come.
+    pub start_each: f64,
     /// Price of the connections that one balancer in a hundred holds open to all servers ...
     pub connection_price: f64,
     /// ... and of opening one for each request.
@@ -88,6 +91,7 @@
             may_probe: false,
             may_tell_peers: false,
             shares_fetches: false,
+            start_each: 8.0,
             connection_price: 0.0,
             handshake_price: 0.0,
             max_retry_after: 0,
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -274,6 +274,8 @@
         may_tell_peers: limits.peers,
         // Not of the platform: the node sets it where its own store shares them.
         shares_fetches: false,
+        // Not of the platform: the operator may set it.
+        start_each: Settings::default().start_each,
         connection_price: wire.prices.connection,
         handshake_price: wire.prices.handshake,
         max_retry_after: if limits.retry_after { micros(limits.max_retry_after_us) } else { 0 },
--- a/src/state.rs
+++ b/src/state.rs
@@ -42,6 +42,11 @@
     /// The keys last asked for, latest first.
     pub(crate) recent: VecDeque<Key>,
     pub(crate) cache_out: u32,
+    /// When this life began; its place among those that begin with it, and its answers in time since.
+    pub(crate) born: Micros,
+    pub(crate) ramp: (f64, f64),
+    /// Cache servers that are ready.
+    pub(crate) caches: u32,
     /// Time that a cache server takes to answer, of late, over all of them.
     pub(crate) pace: f64,
     /// Weight of all cache servers that are ready.
@@ -155,6 +160,8 @@
     pub missed: bool,
     /// The tenant whose bucket paid for it.
     pub charged: Option<usize>,
+    /// When its client is to come back at the soonest, from its refusal.
+    pub back_after: Micros,
     pub aim_at: Micros,
     pub ends: Micros,
     pub sent: u16,
@@ -183,6 +190,9 @@
     pub tally: [u32; 2],
     pub window: Micros,
     pub cut_at: Micros,
+    /// The part of one fetch that may be out, and when the next may go where that is less than one.
+    pub pace: f64,
+    pub fetch_at: Micros,
     /// The origin is known to have stopped until then.
     pub shut_until: Micros,
     /// Tries to go through of late that found it shut.
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -236,3 +236,97 @@
         assert!(cold <= others, "{count} nodes: {cold} attempts at the cold server, {others} at the others");
     }
 }
+
+/// What so many lives that begin at one moment have out, of 2,400 reads that come at once, before any is answered; and,
+/// answered after 110 ms each by 12 servers of 5 cores, how long the longest waited there and how many were sent in the first
+/// second.
+fn at_once(count: u64, start_each: f64) -> (usize, Micros, usize) {
+    let tenants = vec![Tenant { quota_per_s: 840.0 }];
+    let config =
+        Settings { balancers: count as u32, tenants, start_each, may_duplicate: false, ..settings() };
+    let begin = 60 * SECOND;
+    let mut nodes: Vec<_> = (0..count).map(|seed| Policy::new(config.clone(), seed + 1)).collect();
+    for policy in &mut nodes {
+        let mut servers: Vec<_> = (1..=12).map(server).collect();
+        servers.push(origin());
+        policy.handle(begin, Event::ServerList { kind: ListKind::Cached, servers }, &mut Vec::new());
+    }
+    // When each core of each server is free.
+    let mut cores = vec![[begin; 5]; 13];
+    type Queue = BinaryHeap<Reverse<(Micros, usize, RequestId, ServerId)>>;
+    let mut due = Queue::new();
+    let (mut first, mut longest, mut sent) = (0, 0, 0);
+    let mut take = |now: Micros, node: usize, out: Vec<Action>, due: &mut Queue| {
+        for action in out {
+            match action {
+                Action::Send { request, server, .. } if server <= 12 => {
+                    first += usize::from(now == begin);
+                    sent += usize::from(now < begin + SECOND);
+                    let core = cores[server as usize].iter_mut().min().unwrap();
+                    longest = longest.max(core.saturating_sub(now));
+                    *core = (*core).max(now) + 110 * MS;
+                    due.push(Reverse((*core, node, request, server)));
+                }
+                Action::Timer { after, .. } => due.push(Reverse((now + after.max(1), node, 0, 0))),
+                _ => {}
+            }
+        }
+    };
+    // 2,400 wait for the fleet to be there; then 420 a second come.
+    for id in 1..=2_820u64 {
+        let now = begin + id.saturating_sub(2_400) * 2_381;
+        while let Some(Reverse((at, node, request, server))) =
+            due.peek().copied().filter(|Reverse((at, ..))| *at <= now)
+        {
+            due.pop();
+            let mut out = Vec::new();
+            let event = match server {
+                0 => Event::Timer(0),
+                _ => {
+                    let (note, load, status) = (Note::None, Load::default(), Status::Served);
+                    // The attempt's number does not matter where no copy goes out.
+                    Event::Outcome(Outcome {
+                        request,
+                        attempt: 0,
+                        server,
+                        status,
+                        over: true,
+                        note,
+                        took: MS,
+                        load,
+                    })
+                }
+            };
+            nodes[node].handle(at, event, &mut out);
+            take(at, node, out, &mut due);
+        }
+        let node = (id * 7 % count) as usize;
+        let mut out = Vec::new();
+        nodes[node].handle(now, Event::Request(read(id, id * 1_000_003)), &mut out);
+        take(now, node, out, &mut due);
+    }
+    (first, longest, sent)
+}
+
+#[test]
+fn lives_that_begin_together_send_no_more_at_once_however_many_they_are() {
+    for count in [1, 4, 64, 300] {
+        let (first, longest, sent) = at_once(count, 8.0);
+        let (unheld, waited, _) = at_once(count, 0.0);
+        println!(
+            "{count} lives: {first} out at once, {longest} us at most in a queue, {sent} sent in a second"
+        );
+        println!("    not held back: {unheld}, {waited}");
+        // 8 at each of 12, and the part of one that chance gives each life.
+        assert!(first as u64 <= 96 + count, "{count} lives: {first} at once");
+        assert!(longest < 400 * MS, "{count} lives: {longest} us in a queue");
+        // 545 a second is what they can do; one alone knows by itself what it has at each.
+        assert!(sent >= 250, "{count} lives: {sent} sent in the first second");
+        if count >= 64 {
+            assert!(
+                unheld > 600 && waited > SECOND,
+                "without it there is nothing to show: {unheld}, {waited}"
+            );
+        }
+    }
+}
