--- a/src/brain.rs
+++ b/src/brain.rs
@@ -245,8 +245,8 @@
     }
 
     /// Against a fleet that starts all at once: what lives that know nothing have out adds up to what all may
-    /// have at the servers, however many balancers there are. It doubles in each aim, so that a share below one
-    /// opens, and one that was idle is soon held to nothing.
+    /// have at the servers, however many balancers there are. It doubles in each aim, so that a share below
+    /// one opens, and one that was idle is soon held to nothing.
     fn ramped(&self) -> bool {
         let all = self.settings.start_each * f64::from(self.caches);
         let share = all / f64::from(self.settings.balancers.max(1));
