--- a/crates/stonevane-lab/src/fleet.rs
+++ b/crates/stonevane-lab/src/fleet.rs
@@ -172,11 +172,13 @@
 }
 
 /// What an operator writes of membership.
-fn fleet_section(spec: &MembersSpec) -> String {
+fn fleet_section(spec: &MembersSpec, speaks: u8) -> String {
     let (period, answer) = (spec.period.as_millis(), spec.period.as_millis() / 2);
     let key = if spec.keyed { format!("key = \"{}\"\n", "5a".repeat(32)) } else { String::new() };
     let health = spec.heeds_health;
-    format!("[fleet]\nperiod_ms = {period}\nanswer_ms = {answer}\nheeds_health = {health}\n{key}")
+    format!(
+        "[fleet]\nperiod_ms = {period}\nanswer_ms = {answer}\nheeds_health = {health}\nspeaks = {speaks}\n{key}"
+    )
 }
 
 /// Starts a store of record with zones in it, and writes the operator file by which nodes use it.
@@ -358,17 +360,21 @@
             }
         }
         let members = scenario.membership.as_ref().filter(|_| !given);
-        let mut sections = members.map_or(String::new(), fleet_section);
-        if !scenario.ramp {
-            sections += "[start]\nramp = false\n";
-        }
-        if let (false, Kind::Process(Program { operator, .. })) = (sections.is_empty(), &mut kind) {
-            // Behind what the scenario's store has written, or what the caller gives.
-            let text = operator.as_ref().map(std::fs::read_to_string).transpose()?.unwrap_or_default();
-            let path = folder.0.join("operator-of-all.toml");
-            std::fs::write(&path, format!("{text}\n{sections}"))?;
-            *operator = Some(path);
+        let mut older = kind.clone();
+        for (kind, speaks) in [(&mut kind, 2), (&mut older, 1)] {
+            let mut sections = members.map_or(String::new(), |spec| fleet_section(spec, speaks));
+            if !scenario.ramp {
+                sections += "[start]\nramp = false\n";
+            }
+            if let (false, Kind::Process(Program { operator, .. })) = (sections.is_empty(), kind) {
+                // Behind what the scenario's store has written, or what the caller gives.
+                let text = operator.as_ref().map(std::fs::read_to_string).transpose()?.unwrap_or_default();
+                let path = folder.0.join(format!("operator-of-form-{speaks}.toml"));
+                std::fs::write(&path, format!("{text}\n{sections}"))?;
+                *operator = Some(path);
+            }
         }
+        let first = members.map_or(Vec::new(), |spec| spec.speak_first.numbers(scenario.nodes));
         let (mut nodes, mut configs) = (Vec::new(), Vec::new());
         for (number, (name, listen)) in targets.iter().enumerate() {
             let known: Box<serde_json::value::RawValue> = serde_json::from_str(&discovery.known(name))?;
@@ -394,6 +400,7 @@
             };
             let crooked = scenario.membership.as_ref().and_then(|spec| Some((spec, spec.crooked?)));
             let kind = match crooked.filter(|(_, (at, _))| *at == number) {
+                None if first.contains(&number) => older.clone(),
                 None => kind.clone(),
                 Some((spec, (_, mutant))) => Kind::Member(Member {
                     setup: Setup {
--- a/crates/stonevane-lab/src/scenario.rs
+++ b/crates/stonevane-lab/src/scenario.rs
@@ -82,6 +82,8 @@
     pub keyed: bool,
     /// Whether nodes heed their own health.
     pub heeds_health: bool,
+    /// Nodes that send the first form of messages, as before an upgrade.
+    pub speak_first: Who,
     /// Bounds on detection, accuracy, refutation and convergence.
     pub bounds: [u64; 4],
     /// Nodes, the last ones, that never start: nobody may hold them alive.
@@ -460,6 +462,15 @@
                 period: Duration::from_millis(table.integer("period_ms", 400, 50..=10_000)),
                 keyed: table.flag("keyed", false),
                 heeds_health: table.flag("heeds_health", true),
+                speak_first: {
+                    let named = table.texts_or_text("speak_first");
+                    for (word, place) in &named {
+                        if !Who::is_word(word) {
+                            table.fault(place.clone(), format!("`{word}` is not like `nodes` or `every-3`"));
+                        }
+                    }
+                    Who(named.into_iter().map(|(word, _)| word).collect())
+                },
                 bounds: [
                     periods("detect", 16),
                     periods("accuse", 12),
