A process that takes another's clients over does not begin as one of a fleet that starts

Seen: a_process_is_replaced_twice_under_load failed in 5 of 7 runs, always 8 requests refused: 24 clients, one cache in use, 8 attempts at each at a start. Cause: the start's share counts on a crowd that has waited; whoever takes a listening socket over finds none. Change: no start's share where ROUTER_LISTEN_FD is set.

--- a/crates/stonevane-node/src/lib.rs
+++ b/crates/stonevane-node/src/lib.rs
@@ -70,7 +70,8 @@
     let others = management.as_ref().map_or(0, |_| management::SOCKETS) + usize::from(fleet.is_some());
     let excluded = if management.is_some() { kept.excluded() } else { Vec::new() };
     let mut deployment = config.deployment.clone();
-    deployment.settings.start_each = config.operator.start.each;
+    // Whoever takes the clients of a process over that runs meets no crowd that has waited for it.
+    deployment.settings.start_each = if replaced { 0.0 } else { config.operator.start.each };
     deployment.settings.shares_fetches = store.as_ref().is_some_and(|store| store.shares());
     let setup = Setup {
         deployment,
