--- a/crates/stonevane-lab/src/fleet.rs
+++ b/crates/stonevane-lab/src/fleet.rs
@@ -921,9 +921,11 @@
         let missed = (listed..self.targets.len()).chain(moved.iter().copied()).filter(|peer| *peer != node);
         let missed: Vec<usize> = missed.collect();
         lock(&self.nodes).kill(node);
-        for (from, to) in [(vec![node], missed.clone()), (missed.clone(), vec![node])] {
-            self.tell_cut(&from, &to, "cut");
-        }
+        let tell = |state| {
+            self.tell_cut(&[node], &missed, state);
+            self.tell_cut(&missed, &[node], state);
+        };
+        tell("cut");
         self.release(node, &old.to_string()).await;
         tokio::time::sleep(lasts).await;
         {
@@ -933,9 +935,7 @@
                 nodes.all[node].reload(now)?;
             }
         }
-        for (from, to) in [(vec![node], missed.clone()), (missed.clone(), vec![node])] {
-            self.tell_cut(&from, &to, "passes");
-        }
+        tell("passes");
         Ok(())
     }
 
--- a/crates/stonevane-lab/src/nodes.rs
+++ b/crates/stonevane-lab/src/nodes.rs
@@ -102,8 +102,7 @@
         let begun = Mono::now();
         match &self.kind {
             Kind::Process(Program { path, operator }) => {
-                let config_path = self.folder.join(format!("{}.json", self.name));
-                std::fs::write(&config_path, config)?;
+                let config_path = self.configure(config)?;
                 let log = std::fs::File::options()
                     .create(true)
                     .append(true)
@@ -206,12 +205,19 @@
         self.line(Span { begun: now, ended: now }, if slowed { "slowed" } else { "steady" });
     }
 
+    /// Writes its configuration; where it stands.
+    fn configure(&self, config: &str) -> io::Result<PathBuf> {
+        let path = self.folder.join(format!("{}.json", self.name));
+        std::fs::write(&path, config)?;
+        Ok(path)
+    }
+
     /// Writes its configuration anew and has it read it.
     ///
     /// # Errors
     /// Where the file can't be written.
     pub fn reload(&self, config: &str) -> io::Result<()> {
-        std::fs::write(self.folder.join(format!("{}.json", self.name)), config)?;
+        self.configure(config)?;
         self.signal(Signal::HUP);
         let now = Mono::now();
         self.line(Span { begun: now, ended: now }, "reloaded");
