Lists on a watch may come indented; a quiet watch that falls silent is made anew in time

Read from the code, then forced on sockets: - A list on a watch was cut at line ends, so that an indented one (the terms allow it) was no list: the watch was given up and made again, for as long as lists came so. `lines::take` in the codec takes it whole; a cut-off one is told from the next. - `asked_again` went back to 0 with a list only. Behind a watch that told nothing new, whose empty lines show that discovery works calls off, a second silence was asked about after up to 0.4 times `ask_within`: 4 s later at 10 s, so 6.5 s after the last word where 6 s is all there is. Wrong lines: the split in `lists` (discovery.rs), `discovery_failed` (brain.rs).

--- a/crates/stonevane-codec/src/lib.rs
+++ b/crates/stonevane-codec/src/lib.rs
@@ -4,4 +4,5 @@
 //! bounds what a peer can make it hold: lengths, counts, depth and lines.
 
 pub mod http;
+pub mod lines;
 pub mod resp;
--- a/crates/stonevane-core/src/io.rs
+++ b/crates/stonevane-core/src/io.rs
@@ -34,8 +34,8 @@
     List(Era, Listing),
     /// A call to discovery failed, or the watch broke.
     ListFailed(Era),
-    /// The watch stands and has brought nothing for so long, which is too long.
-    ListSilent(Era, Micros),
+    /// The watch is open and has brought nothing for so long, which is too long; whether it had brought a line before.
+    ListSilent(Era, Micros, bool),
     /// The store in the origin's place has stopped: no call to it is any use for so long; 0: it answers again.
     OriginShut(Micros),
     /// Discovery is elsewhere from now on.
--- a/crates/stonevane-core/src/node.rs
+++ b/crates/stonevane-core/src/node.rs
@@ -396,14 +396,17 @@
             Input::Replied(id, reply) => self.replied(id, reply),
             // Against what the discovery before the present one still had under way: its versions and its view
             // are no longer in force.
-            Input::List(era, _) | Input::ListFailed(era) | Input::ListSilent(era, _) if era != self.era => {}
+            Input::List(era, _) | Input::ListFailed(era) | Input::ListSilent(era, ..) if era != self.era => {}
             Input::List(_, listing) => self.list(listing, None),
             Input::ListFailed(_) => {
                 self.deaf |= self.faults.plays(Mutant::Deaf);
                 self.tell(Event::ServerList { kind: ListKind::Failed, servers: Vec::new() });
             }
-            Input::ListSilent(_, lasted) => {
-                self.tell(Event::ServerList { kind: ListKind::Silent { lasted }, servers: Vec::new() });
+            Input::ListSilent(_, lasted, stood) => {
+                self.tell(Event::ServerList {
+                    kind: ListKind::Silent { lasted, stood },
+                    servers: Vec::new(),
+                });
             }
             Input::OriginShut(lasts) => self.tell(Event::OriginShut { lasts }),
             Input::Move(address) => self.move_to(address),
--- a/crates/stonevane-node/src/discovery.rs
+++ b/crates/stonevane-node/src/discovery.rs
@@ -8,6 +8,7 @@
 use bytes::BytesMut;
 use spardeal::Micros;
 use stonevane_codec::http::{self, Chunks};
+use stonevane_codec::lines;
 use stonevane_core::patience::Patience;
 use stonevane_core::{Ask, Call, Era, Input};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -56,14 +57,14 @@
                 let call = async move {
                     let ended = watch(address, after, &line).await;
                     let lasted = match ended {
-                        Err(CallError::Silent) => Some(patience.silence),
+                        Err(CallError::Silent { stood }) => Some((patience.silence, stood)),
                         // It may have fallen silent before its turn came.
-                        Err(CallError::Unanswered) => Some(patience.answer),
+                        Err(CallError::Unanswered) => Some((patience.answer, false)),
                         _ => None,
                     };
                     report(ended);
                     (line.tell)(match lasted {
-                        Some(lasted) => Input::ListSilent(line.era, lasted),
+                        Some((lasted, stood)) => Input::ListSilent(line.era, lasted, stood),
                         None => Input::ListFailed(line.era),
                     });
                 };
@@ -108,8 +109,8 @@
     Io(std::io::Error),
     /// It was not answered in time.
     Unanswered,
-    /// It was answered, and fell silent.
-    Silent,
+    /// It was answered, and fell silent; whether it had brought a line before, be it an empty one.
+    Silent { stood: bool },
     /// It was turned away.
     Status(u16),
     /// It brought what is no list; the list held stays in force.
@@ -121,7 +122,7 @@
         match self {
             CallError::Io(e) => write!(f, "{e}"),
             CallError::Unanswered => write!(f, "no answer in time"),
-            CallError::Silent => write!(f, "silent for too long"),
+            CallError::Silent { .. } => write!(f, "silent for too long"),
             CallError::Status(status) => write!(f, "answered with status {status}"),
             CallError::Garbage => write!(f, "brought no list, or one that was cut off"),
         }
@@ -178,7 +179,7 @@
     let _ = raw.split_to(head.length);
     let mut chunks = Chunks::default();
     let mut left = head.content_length.unwrap_or(usize::MAX);
-    let mut ended = false;
+    let (mut ended, mut stood) = (false, false);
     loop {
         if head.chunked {
             ended |= chunks.take(&mut raw, &mut body).map_err(|_| CallError::Garbage)?;
@@ -188,10 +189,11 @@
             body.extend_from_slice(&part);
             ended |= left == 0;
         }
-        // A body of a stated length is one list, on however many lines; else each line is one.
+        // A body of a stated length is one list, on however many lines; else they come one after another.
         let whole = head.content_length.is_some();
-        while !whole && let Some(end) = body.iter().position(|byte| *byte == b'\n') {
-            pass_on(&body.split_to(end + 1), to)?;
+        while !whole && let Some(list) = lines::take(&mut body) {
+            stood = true;
+            pass_on(&list, to)?;
         }
         if ended {
             return pass_on(&body, to);
@@ -201,7 +203,7 @@
         }
         raw.reserve(4096);
         let read = timeout(micros(waits.silence), stream.read_buf(&mut raw));
-        if read.await.map_err(|_| CallError::Silent)?? == 0 {
+        if read.await.map_err(|_| CallError::Silent { stood })?? == 0 {
             // What is left over is a line that was cut off.
             return Err(CallError::Garbage);
         }
--- a/crates/stonevane-node/tests/node/stand_in.rs
+++ b/crates/stonevane-node/tests/node/stand_in.rs
@@ -6,6 +6,7 @@
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::mpsc::{Receiver, Sender, channel};
+use std::sync::{Arc, Condvar, Mutex};
 use std::time::Duration;
 
 /// Longer than anything here takes, on the busiest machine.
@@ -21,12 +22,32 @@
     SayAndClose(Vec<u8>),
     /// Answers with these bytes, and a moment later with the others.
     SayMore(Vec<u8>, Vec<u8>),
+    /// Answers with these bytes once the latch is open.
+    SayWhen(Latch, Vec<u8>),
+    /// Answers with these bytes, and ends the connection once the latch is open.
+    SayThenClose(Latch, Vec<u8>),
     /// Ends the connection.
     Close,
     /// Says nothing, and keeps the connection.
     Hang,
 }
 
+/// Holds back what waits for it until it is opened, for any number.
+#[derive(Clone, Default)]
+pub struct Latch(Arc<(Mutex<bool>, Condvar)>);
+
+impl Latch {
+    pub fn open(&self) {
+        *self.0.0.lock().unwrap() = true;
+        self.0.1.notify_all();
+    }
+
+    fn wait(&self) {
+        let shut = self.0.0.lock().unwrap();
+        let _ = self.0.1.wait_timeout_while(shut, LONG, |open| !*open);
+    }
+}
+
 /// A request that reached a stand-in: its words, and the number of its connection; without words, the end
 /// of that connection.
 pub struct Seen {
@@ -98,6 +119,17 @@
                 std::thread::sleep(Duration::from_millis(3));
                 (more, false)
             }
+            Act::SayWhen(latch, bytes) => {
+                latch.wait();
+                (bytes, false)
+            }
+            Act::SayThenClose(latch, bytes) => {
+                if out.write_all(&bytes).is_err() {
+                    return;
+                }
+                latch.wait();
+                (Vec::new(), true)
+            }
             Act::SayAndClose(bytes) => (bytes, true),
             Act::Close => (Vec::new(), true),
             Act::Hang => (Vec::new(), false),
@@ -130,7 +162,7 @@
 }
 
 /// Reads an HTTP request: its first line, its headers, its body.
-fn read_http(input: &mut BufReader<TcpStream>) -> Option<Vec<String>> {
+pub fn read_http(input: &mut BufReader<TcpStream>) -> Option<Vec<String>> {
     let mut words = vec![line(input)?];
     let mut length = 0;
     loop {
@@ -242,6 +274,11 @@
     )
 }
 
+/// The same with a second address.
+fn managed(text: &str) -> String {
+    text.replacen("{", r#"{"mgmt":"127.0.0.1:0","#, 1)
+}
+
 /// An empty folder of its own.
 pub fn folder() -> PathBuf {
     let number = FILES.fetch_add(1, Ordering::Relaxed);
@@ -314,14 +351,17 @@
         before: &str,
         change: impl FnOnce(&mut Command),
     ) -> Node {
-        let text = config(discovery, known, 256, settings());
-        let text = text.replacen("{", r#"{"mgmt":"127.0.0.1:0","#, 1);
-        Node::launch(&text, discovery, before, |command| {
+        Node::launch(&managed(&config(discovery, known, 256, settings())), discovery, before, |command| {
             command.env("TMPDIR", folder);
             change(command);
         })
     }
 
+    /// Starts a node with a second address and other settings.
+    pub fn start_managed_with_settings(discovery: SocketAddr, known: &str, settings: &str) -> Node {
+        Node::launch(&managed(&config(discovery, known, 256, settings)), discovery, "", |_| {})
+    }
+
     fn launch(text: &str, discovery: SocketAddr, before: &str, change: impl FnOnce(&mut Command)) -> Node {
         let path = config_file(text);
         let mut command = Command::new("/bin/sh");
@@ -413,6 +453,20 @@
         self.kill("TERM");
     }
 
+    /// Stops it, until SIGCONT.
+    pub fn stop(&self) {
+        self.kill("STOP");
+        let stands = || {
+            let stat = std::fs::read_to_string(format!("/proc/{}/stat", self.child.id())).unwrap();
+            stat.rsplit(") ").next().is_some_and(|rest| rest.starts_with('T'))
+        };
+        let end = std::time::Instant::now() + LONG;
+        while !stands() {
+            assert!(std::time::Instant::now() < end, "it does not stop");
+            std::thread::yield_now();
+        }
+    }
+
     pub fn kill(&self, signal: &str) {
         let kill = format!("kill -{signal} {}", self.child.id());
         assert!(Command::new("/bin/sh").arg("-c").arg(kill).status().unwrap().success());
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -137,7 +137,9 @@
         }
         match event {
             Event::ServerList { kind: ListKind::Failed, .. } => self.discovery_failed(Micros::MAX, out),
-            Event::ServerList { kind: ListKind::Silent { lasted }, .. } => {
+            Event::ServerList { kind: ListKind::Silent { lasted, stood }, .. } => {
+                // Whoever tells nothing new for long has kept up all the same.
+                self.asked_again = if stood { 0 } else { self.asked_again };
                 self.discovery_failed(SILENT_AGAIN.saturating_sub(lasted), out);
             }
             Event::ServerList { kind, servers } => self.server_list(kind, servers),
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -259,6 +259,8 @@
     Silent {
         /// For so long.
         lasted: Micros,
+        /// It had brought a line before, be it an empty one: discovery had worked its call off.
+        stood: bool,
     },
 }
 
--- a/tests/brain.rs
+++ b/tests/brain.rs
@@ -885,15 +885,22 @@
                 let config = Settings { ask_discovery: true, ask_within, ..settings() };
                 let mut node = Node::seeded(config, 3, seed);
                 node.actions.clear();
-                node.list(ListKind::Silent { lasted }, Vec::new());
+                node.list(ListKind::Silent { lasted, stood: false }, Vec::new());
                 assert!(!node.actions.contains(&Action::Subscribe(true)), "not all at once");
                 let again = node.pass(told - lasted - SECOND).contains(&Action::Subscribe(true));
                 assert!(again, "{ask_within} {lasted}: a second is left for the call");
                 // What is unanswered too is asked no more often than it can answer all.
                 node.actions.clear();
-                node.list(ListKind::Silent { lasted }, Vec::new());
+                node.list(ListKind::Silent { lasted, stood: false }, Vec::new());
                 let soon = node.pass(SECOND).contains(&Action::Subscribe(true));
                 assert!(!soon || ask_within < 5 * SECOND, "{ask_within}");
+                // One that had brought lines, if only empty ones, says no such thing, however many there were.
+                for _ in 0..3 {
+                    node.actions.clear();
+                    node.list(ListKind::Silent { lasted, stood: true }, Vec::new());
+                    let again = node.pass(told - lasted - SECOND).contains(&Action::Subscribe(true));
+                    assert!(again, "{ask_within} {lasted}: quiet is no sign that it can't keep up");
+                }
             }
         }
     }
