--- a/crates/stonevane-core/src/faults.rs
+++ b/crates/stonevane-core/src/faults.rs
@@ -38,11 +38,13 @@
     ForgetRefusal,
     /// Discovery's calls that fail are not made again.
     Deaf,
+    /// What a client that has left had asked for goes on.
+    ForgetGone,
 }
 
 impl Mutant {
     /// All of them, with the names by which they are played and what they do.
-    pub const ALL: [(Mutant, &'static str, &'static str); 17] = [
+    pub const ALL: [(Mutant, &'static str, &'static str); 18] = [
         (Mutant::AnswerTwice, "answer-twice", "a request whose attempt was reset gets a second answer"),
         (Mutant::ForgetDrain, "forget-drain", "drains and ends in the list count as active"),
         (Mutant::KeepNoise, "keep-noise", "a connection with bytes beyond its answer is used again"),
@@ -60,6 +62,7 @@
         (Mutant::SendTwice, "send-twice", "each attempt is sent twice"),
         (Mutant::ForgetRefusal, "forget-refusal", "refusals are not passed on"),
         (Mutant::Deaf, "deaf", "calls to discovery that fail are not made again"),
+        (Mutant::ForgetGone, "forget-gone", "what a client that has left had asked for goes on"),
     ];
 
     /// A mutant by its name.
--- a/crates/stonevane-core/src/node.rs
+++ b/crates/stonevane-core/src/node.rs
@@ -813,6 +813,9 @@
                 if let Some(open) = self.open.get(&request) {
                     self.figures.class(open.counted).left += 1;
                 }
+                if self.faults.plays(Mutant::ForgetGone) {
+                    continue;
+                }
                 let sent = self.open.get(&request).map_or(0, |open| open.sent);
                 self.close_request(request);
                 self.tell(Event::ClientGone(request));
--- a/crates/stonevane-sim/src/wire.rs
+++ b/crates/stonevane-sim/src/wire.rs
@@ -30,6 +30,8 @@
     pub placed: bool,
     /// The node writes no more, and reads on for a moment.
     pub lingers: bool,
+    /// What the machine has not taken yet of what the node writes; gone where the node closes it before.
+    pub rest: Option<Vec<u8>>,
     /// The last moment at which anything arrives at the node, and at the peer.
     pub to_node: u64,
     pub to_peer: u64,
--- a/crates/stonevane-sim/src/world.rs
+++ b/crates/stonevane-sim/src/world.rs
@@ -1,7 +1,7 @@
 //! The world of one run: everything that happens has a moment and a place in the order of that moment, and nothing
 //! depends on anything else.
 
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 use std::net::{Ipv4Addr, SocketAddr};
 
 use bytes::BytesMut;
@@ -38,6 +38,8 @@
 const AWAY: u64 = 300_000;
 /// A connection that no node takes is given up after this.
 const UNTAKEN: u64 = 250_000;
+/// A request whose client has left while it waited is not sent on so much later.
+const SENT_ON: u64 = 300_000;
 /// After the load, until all must be quiet.
 const QUIET: u64 = 4_000_000;
 /// The last part of the load, in which clients must be served again ...
@@ -187,6 +189,9 @@
     crowd: u32,
     dark: u32,
     sums: Sums,
+    /// Requests whose clients left before any server had them, and when; and all that a server has had.
+    waited: HashMap<String, u64>,
+    begun: HashSet<String>,
     steps: u64,
     value: String,
     digest_of_value: String,
@@ -316,6 +321,8 @@
             crowd: 0,
             dark: 0,
             sums: Sums::default(),
+            waited: HashMap::new(),
+            begun: HashSet::new(),
             steps: 0,
             digest_of_value: digest(value.as_bytes()),
             value,
@@ -439,7 +446,7 @@
             Ev::ToNode(wire, chunk) => self.at_node(wire, chunk),
             Ev::ToPeer(wire, chunk) => self.at_peer(wire, chunk),
             Ev::Connected(wire, up) => self.connected(wire, up),
-            Ev::Flushed(wire) => self.of_wire(wire, Ev::Flushed, Input::Flushed),
+            Ev::Flushed(wire) => self.flushed(wire),
             Ev::Lingered(wire) => self.lingered(wire),
             Ev::Knock(wire) => self.knock(wire),
             Ev::Wake(node, life) => self.wake(node, life),
@@ -680,6 +687,17 @@
         self.feed(node, input(id));
     }
 
+    /// The machine takes the rest of what a node writes.
+    fn flushed(&mut self, wire: WireId) {
+        let Some(it) = self.wires.get_mut(&wire).filter(|it| it.node_open) else { return };
+        if !self.nodes[it.node].paused
+            && let Some(rest) = it.rest.take()
+        {
+            self.send_to_peer(wire, Chunk::Bytes(rest));
+        }
+        self.of_wire(wire, Ev::Flushed, Input::Flushed);
+    }
+
     // Streams, at the node's end.
 
     fn send_to_node(&mut self, wire: WireId, chunk: Chunk) {
@@ -725,10 +743,15 @@
             self.close_node_end(wire);
             return self.also(node, Input::Ended(id), outputs);
         }
-        for piece in self.pieces(bytes) {
+        let mut pieces = self.pieces(bytes);
+        let rest = if self.chance(self.plan.slow) { pieces.pop() } else { None };
+        for piece in pieces {
             self.send_to_peer(wire, Chunk::Bytes(piece));
         }
-        if self.chance(self.plan.slow) {
+        if rest.is_some() {
+            if let Some(it) = self.wires.get_mut(&wire) {
+                it.rest = rest;
+            }
             let at = self.now + self.rng.rand_range(1..20_000);
             return self.push(at, Ev::Flushed(wire));
         }
@@ -850,6 +873,7 @@
             peer_open: true,
             placed: true,
             lingers: false,
+            rest: None,
             to_node: 0,
             to_peer: 0,
             inbox: Vec::new(),
@@ -991,6 +1015,15 @@
             if let Some(it) = self.wires.get_mut(&wire) {
                 it.first = now;
             }
+            // Counted from its first byte, as it is for drains.
+            if let Some(left) = self.waited.remove(&asked.request).filter(|left| first > left + SENT_ON) {
+                let late = first - left;
+                self.breach(
+                    "left-sent",
+                    format!("{} was sent on {late} us after its client left", asked.request),
+                );
+            }
+            self.begun.insert(asked.request.clone());
             let (server, now) = (&mut self.servers[at], self.now);
             let work = if placed { server.work(now, &asked) } else { server.turn_away(now) };
             self.sums.origin += u64::from(server.origin);
@@ -1398,6 +1431,11 @@
         for left in asked {
             // Also one who leaves while an answer in time may still be on its way.
             let early = self.now < self.wishes[left].until + 60_000;
+            // A node that stands still can't see it.
+            let id = self.wishes[left].id();
+            if !self.nodes[node].paused && !self.begun.contains(&id) {
+                self.waited.insert(id, self.now);
+            }
             self.wishes[left].over = true;
             self.wishes[left].wire = None;
             if early {
@@ -1623,6 +1661,8 @@
     }
 
     fn pause(&mut self, node: usize, begins: bool) {
+        // What left just before is read after it.
+        self.waited.clear();
         if self.nodes[node].core.is_none() {
             return;
         }
--- a/crates/stonevane-sim/tests/sim.rs
+++ b/crates/stonevane-sim/tests/sim.rs
@@ -50,6 +50,14 @@
     }
 }
 
+#[test]
+fn what_goes_on_for_a_client_that_has_left_is_found_as_just_that() {
+    let options = Options { mutant: Some(Mutant::ForgetGone), history: false };
+    let told =
+        |seed| run(&Plan::draw(seed), options).broken.iter().any(|what| what.starts_with("left-sent:"));
+    assert!((1..=WITHIN).any(told));
+}
+
 #[test]
 fn the_same_seed_is_the_same_history_to_the_byte() {
     let options = Options { mutant: None, history: true };
