A standstill is noticed within the grace that the settings hold, however short

Read from the code: something was due every 250 ms and 100 ms late told of a standstill, so that one of up to 350 ms went unseen, while settings may hold a grace of 250 ms (300 ms with the slack): a client's bytes read before the list that came first then went to a server that was told to leave. Both figures are parts of the grace now (patience::Standstill, bounded).

--- a/crates/stonevane-core/src/node.rs
+++ b/crates/stonevane-core/src/node.rs
@@ -22,7 +22,7 @@
 use crate::io::{Ask, Call, Input, Job, Note, Output, Outputs};
 use crate::list::{Era, Listing};
 use crate::memory::{Memory, Share};
-use crate::patience::Patience;
+use crate::patience::{Patience, Standstill};
 use crate::reply::{AttemptKey, ConnId, Reply};
 use crate::request::{Command, Final, Phase};
 use crate::servers::{Conn, Pool, Read, Speaks, State};
@@ -35,13 +35,10 @@
 const LONGEST_DRAIN: Micros = 3_000_000;
 /// What is still owed so long before that end is answered as it stands.
 const LAST: Micros = 60_000;
-/// Idle connections are looked through so often; it is also the longest time in which nothing is due, so that a process
-/// that stood still for much longer finds out.
-const SWEEP: Micros = 250_000;
-/// What is found due so late tells that the process stood still; then it takes what came meanwhile for so long before it
-/// does what is due, and before it sends anything. Against a send to a server whose drain was told while the process stood
-/// still: which of the two it reads first is the machine's choice.
-const STOOD_STILL: (Micros, Micros) = (100_000, 5_000);
+/// A process that stood still (`patience::standstill`) takes what came meanwhile for so long before it does what is due,
+/// and before it sends anything. Against a send to a server whose drain was told while the process stood still: which of
+/// the two it reads first is the machine's choice.
+const CATCHES_UP: Micros = 5_000;
 /// Entries among the timers that are never looked through.
 const TIMERS: usize = 512;
 /// What a second process of the node takes for itself, in megabytes.
@@ -298,11 +295,15 @@
         if !core.deployment.settings.ask_discovery {
             core.ask(Ask::Follow);
         }
-        core.timers.push(now + SWEEP, Due::Sweep);
+        core.timers.push(now + core.standstill().due, Due::Sweep);
         core.settle();
         core
     }
 
+    fn standstill(&self) -> Standstill {
+        Standstill::of(&self.deployment.settings)
+    }
+
     /// A new id for a connection.
     pub fn next_id(&mut self) -> ConnId {
         self.next_conn += 1;
@@ -376,9 +377,9 @@
         // Not once it is to end: what it took meanwhile it could not answer any more.
         if self.catches_up.is_none()
             && self.ends_at.is_none()
-            && self.timers.next().is_some_and(|due| due + STOOD_STILL.0 <= self.now)
+            && self.timers.next().is_some_and(|due| due + self.standstill().late <= self.now)
         {
-            self.catches_up = Some(self.now + STOOD_STILL.1);
+            self.catches_up = Some(self.now + CATCHES_UP);
         }
         if self.catches_up.is_none_or(|until| until <= self.now) {
             self.catches_up = None;
@@ -486,7 +487,7 @@
             Due::Sweep => {
                 let gone = self.pool.sweep(self.now);
                 gone.into_iter().for_each(|id| self.out.push_back(Output::Close(id)));
-                self.timers.push(self.now + SWEEP, Due::Sweep);
+                self.timers.push(self.now + self.standstill().due, Due::Sweep);
             }
             Due::Last => self.tell(Event::Ending),
             Due::Drain => {
--- a/crates/stonevane-core/src/patience.rs
+++ b/crates/stonevane-core/src/patience.rs
@@ -17,6 +17,30 @@
 const AGENT_LEAST: Micros = 10_000;
 const AGENT_MOST: (Micros, Micros) = (1_000_000, 100_000);
 
+/// A process that stood still must find out before the shortest grace is over: something is due at this part of it, and
+/// what is found late by the other tells. Within bounds: a busy machine is often late by a little, and a long grace is no
+/// reason to look seldom.
+const STANDSTILL: (Micros, Micros) = (2, 4);
+const STANDSTILL_DUE: (Micros, Micros) = (50_000, 250_000);
+const STANDSTILL_LATE: (Micros, Micros) = (20_000, 100_000);
+
+/// How a process that stood still finds out.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Standstill {
+    /// The longest time in which nothing is due; idle connections are looked through as often.
+    pub due: Micros,
+    /// What is found due so late tells of it.
+    pub late: Micros,
+}
+
+impl Standstill {
+    /// What settings ask for.
+    pub fn of(settings: &Settings) -> Standstill {
+        let part = |of: Micros, (least, most)| (settings.drain_grace / of).clamp(least, most);
+        Standstill { due: part(STANDSTILL.0, STANDSTILL_DUE), late: part(STANDSTILL.1, STANDSTILL_LATE) }
+    }
+}
+
 /// The waits for one kind of discovery.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Patience {
@@ -68,6 +92,15 @@
         }
     }
 
+    #[test]
+    fn a_standstill_of_a_grace_is_noticed_however_short_that_is() {
+        for drain_grace in [50_000, 100_000, 250_000, 500_000, 1_000_000, 10_000_000] {
+            let stands = Standstill::of(&Settings { drain_grace, ..Settings::default() });
+            // With the slack of all limits on sockets.
+            assert!(stands.due + stands.late <= drain_grace + 50_000, "{stands:?} at {drain_grace}");
+        }
+    }
+
     #[test]
     fn discovery_that_all_share_gets_its_turn_and_a_silent_watch_leaves_time_to_ask_anew() {
         for ask_within in [1, 1_000_000, 6_500_000, 86_400_000_000] {
--- a/crates/stonevane-core/tests/crossings.rs
+++ b/crates/stonevane-core/tests/crossings.rs
@@ -208,6 +208,16 @@
     assert_eq!(it.asked.len(), 0, "a standstill of less than a grace is noticed");
     it.pass(20_000);
     assert_eq!(it.asked.len(), 1);
+    // Whatever the grace is.
+    let short = |d: &mut spardeal::settings::Deployment| {
+        d.settings.classes[0].aim = 60_000_000;
+        d.settings.drain_grace = 250_000;
+    };
+    let mut it = World::of(common::core_with(false, 256, Duration::from_millis(15), short));
+    it.pass(10_000_000);
+    it.now += 250_000;
+    it.asks("1");
+    assert_eq!(it.asked.len(), 0, "a standstill of a short grace is noticed");
 }
 
 #[test]
