--- a/crates/stonevane-node/tests/node/crossings.rs
+++ b/crates/stonevane-node/tests/node/crossings.rs
@@ -317,11 +317,17 @@
     for client in &mut clients {
         assert_eq!(client.answer().unwrap(), "ok");
     }
-    assert_eq!(node.client().ask(&put("ff", "99", "v")).unwrap(), "ok");
+    // The gate is open, and what waits before it comes again after 13 ms at the most: an aim's twentieth.
+    let (begun, mut last, mut more) = (Instant::now(), node.client(), 0);
+    while begun.elapsed() < Duration::from_millis(300) {
+        more += 1;
+        assert_eq!(last.ask(&put("ff", &format!("{more}f"), "v")).unwrap(), "ok");
+    }
     let seen: Vec<_> = std::iter::from_fn(|| origin.seen.try_recv().ok())
         .filter_map(|seen| seen.words.first()?.split(' ').nth(1).map(str::to_owned))
+        .filter(|key| key != "/ff")
         .collect();
-    assert_eq!(seen.len(), 31, "{seen:?}");
+    assert_eq!(seen.len(), 30, "{seen:?}");
     assert!((31..=40).all(|n| !seen.contains(&format!("/{n:x}"))), "{seen:?}");
 }
 
@@ -332,13 +338,17 @@
         let at_cache = latch.clone();
         let cache = cache(move |_| Act::SayWhen(at_cache.clone(), hit("late")));
         let (origin, (discovery, _say, _calls)) = (no_origin(), quiet());
-        let node = Node::start_managed(discovery, &pair(cache.address, origin.address), &folder());
+        // With more than a share of a start, or some would be refused, and the write to a client that has gone would tell.
+        let operator = config_file("[start]\neach = 1000\n");
+        let before = format!("set -- --operator {};", operator.display());
+        let known = pair(cache.address, origin.address);
+        let node = Node::start_managed_with(discovery, &known, &folder(), &before, |_| {});
         let mut client = node.client();
         // Their time is far longer than the test's: nothing but the client's leaving ends them.
         let ask = |n: u32| command(&["OBJ.GET", &format!("{n:x}"), &n.to_string(), "c=read,t=acme,d=60000"]);
         let all: Vec<u8> = (0..300).flat_map(ask).collect();
         client.send(&all);
-        cache.next();
+        node.until("in_flight", 16);
         // Most of it stands in the socket, ahead of the end.
         leaves(client, reset);
         node.until("in_flight", 0);
@@ -347,11 +357,11 @@
         // The server has looked slow for a moment.
         let mut served = (0..10_000).map(|n| other.ask(&get("fff", &format!("{n}f"))).unwrap());
         assert!(served.any(|answer| answer == "late"));
-        let mut seen = 1;
+        let mut seen = 0;
         while cache.next().words[1] != "fff" {
             seen += 1;
         }
-        assert!(seen <= 64, "{seen} of 300 were sent on, more than are answered at the same time");
+        assert!(seen <= 16, "{seen} of 300 were sent on, some after it had left");
     }
 }
 
