A successor no longer takes a predecessor that ends for one that holds everything

Cause: `Beside::drop` removed what the process had said before the name of its lock, which it held still. A successor that looked in between read nothing, and one that has said nothing may hold all: it was left a sixteenth of the places and of the memory, closed clients and refused others. Wrong lines: the order in `Beside::drop`, `others` in beside.rs. Ruled out: quotas (a refusal only at that moment), the start's share, the clients' own closes, load (the machine was idle). The unit test ends 300 predecessors beside one that looks, and takes the names away with the lock open: each half was seen to fail without its part.

--- a/crates/stonevane-node/src/beside.rs
+++ b/crates/stonevane-node/src/beside.rs
@@ -60,21 +60,10 @@
         let files = entries.filter_map(|entry| entry.file_name().into_string().ok());
         let mut others = Vec::new();
         for since in files.filter_map(|file| read_name(&file)).filter(|since| *since != self.own.since) {
-            let path = self.folder.join(name(since));
-            let lock = path.with_extension("lock");
-            let Ok(file) = File::open(&lock) else { continue };
-            if !matches!(file.try_lock(), Err(TryLockError::WouldBlock)) {
-                // Its process is gone.
-                let _ = std::fs::remove_file(&path);
-                let _ = std::fs::remove_file(&lock);
-                continue;
-            }
-            let text = std::fs::read_to_string(&path).unwrap_or_default();
-            let unread = Standing { since, stage: Stage::Starting, room: whole, open: 0 };
-            // One that is older than this one and has not spoken may hold all, a newer one holds only what is left.
-            let silent =
-                if since < self.own.since { unread } else { Standing { room: Room::default(), ..unread } };
-            others.push(Standing::read(since, &text).unwrap_or(silent));
+            let lock = self.folder.join(name(since)).with_extension("lock");
+            let Ok(file) = File::open(lock) else { continue };
+            let Some(said) = self.said_by(since, &file, whole) else { continue };
+            others.push(said);
             if others.len() == MOST {
                 break;
             }
@@ -82,6 +71,29 @@
         others
     }
 
+    /// What another has said, by its lock; nothing where it has gone.
+    fn said_by(&self, since: Since, file: &File, whole: Room) -> Option<Standing> {
+        let path = self.folder.join(name(since));
+        let lock = path.with_extension("lock");
+        if !matches!(file.try_lock(), Err(TryLockError::WouldBlock)) {
+            // Its process is gone.
+            let _ = std::fs::remove_file(&path);
+            let _ = std::fs::remove_file(&lock);
+            return None;
+        }
+        let text = std::fs::read_to_string(&path).unwrap_or_default();
+        // One that ends takes the name of its lock away before what it said, and holds the lock to its very end: taken for one
+        // that has not spoken, it would leave nothing to who has its clients now.
+        if text.is_empty() && !lock.exists() {
+            return None;
+        }
+        let unread = Standing { since, stage: Stage::Starting, room: whole, open: 0 };
+        // One that is older than this one and has not spoken may hold all, a newer one holds only what is left.
+        let silent =
+            if since < self.own.since { unread } else { Standing { room: Room::default(), ..unread } };
+        Some(Standing::read(since, &text).unwrap_or(silent))
+    }
+
     fn say(&mut self, room: Room) {
         self.own.room = room;
         let line = self.own.line();
@@ -145,7 +157,60 @@
 impl Drop for Beside {
     fn drop(&mut self) {
         let path = self.folder.join(name(self.own.since));
-        let _ = std::fs::remove_file(&path);
         let _ = std::fs::remove_file(path.with_extension("lock"));
+        let _ = std::fs::remove_file(&path);
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use std::sync::atomic::{AtomicBool, Ordering};
+
+    const WHOLE: Room = Room { places: 320, memory: 16_000 };
+
+    #[test]
+    fn one_that_ends_leaves_all_that_it_held_at_every_moment_of_its_end() {
+        // Found where files are slow: its successor read nothing of it and took it for one that holds all, closed
+        // clients and refused others.
+        let folder = std::env::temp_dir().join(format!("spardeal-beside-test-{}", std::process::id()));
+        let own = Beside::new(&folder, (1_000, 0)).unwrap();
+        for turn in 0..300 {
+            let mut old = Beside::new(&folder, (turn, 0)).unwrap();
+            old.say(Room { places: 20, memory: 1_000 });
+            let ends = AtomicBool::new(false);
+            std::thread::scope(|scope| {
+                let ended = scope.spawn(|| {
+                    while !ends.load(Ordering::Relaxed) {
+                        std::hint::spin_loop();
+                    }
+                    drop(old);
+                });
+                ends.store(true, Ordering::Relaxed);
+                loop {
+                    let done = ended.is_finished();
+                    for other in own.others(WHOLE) {
+                        assert_eq!(other.room.places, 20, "in turn {turn}");
+                    }
+                    if done {
+                        break;
+                    }
+                }
+            });
+            assert!(own.others(WHOLE).is_empty(), "it has gone");
+        }
+        // Its lock is open here already when it takes all away, and is still held: by the time that it is read it has gone.
+        let mut old = Beside::new(&folder, (998, 0)).unwrap();
+        old.say(Room { places: 20, memory: 1_000 });
+        let lock = File::open(folder.join(name((998, 0)) + ".lock")).unwrap();
+        assert!(own.said_by((998, 0), &lock, WHOLE).is_some());
+        for file in [name((998, 0)) + ".lock", name((998, 0))] {
+            std::fs::remove_file(folder.join(file)).unwrap();
+        }
+        assert_eq!(own.said_by((998, 0), &lock, WHOLE), None);
+        // One that has its place and has said nothing yet may hold all.
+        let _starts = Beside::new(&folder, (999, 0)).unwrap();
+        assert_eq!(own.others(WHOLE).iter().map(|other| other.room).collect::<Vec<_>>(), [WHOLE]);
+        let _ = std::fs::remove_dir_all(&folder);
     }
 }
