--- a/crates/stonevane-node/src/beside.rs
+++ b/crates/stonevane-node/src/beside.rs
@@ -202,10 +202,10 @@
         // Its lock is open here already when it takes all away, and is still held: by the time that it is read it has gone.
         let mut old = Beside::new(&folder, (998, 0)).unwrap();
         old.say(Room { places: 20, memory: 1_000 });
-        let lock = File::open(folder.join(name((998, 0)) + ".lock")).unwrap();
+        let lock = File::open(own.folder.join(name((998, 0)) + ".lock")).unwrap();
         assert!(own.said_by((998, 0), &lock, WHOLE).is_some());
         for file in [name((998, 0)) + ".lock", name((998, 0))] {
-            std::fs::remove_file(folder.join(file)).unwrap();
+            std::fs::remove_file(own.folder.join(file)).unwrap();
         }
         assert_eq!(own.said_by((998, 0), &lock, WHOLE), None);
         // One that has its place and has said nothing yet may hold all.
