A client between requests learns at once that its connection is closed

The core had closed them between requests, but a socket was closed only when the runtime had dropped its task, and the turn went on into files. Cause: `Output::Part` in driver.rs removes the link, whose task holds the stream until it is dropped. Ruled out: an unseen request (the socket is asked before), the predecessor's connections (their last answers carry the end). Mend: the sending side is shut down in the same turn. The driver's test gives the runtime no turn behind the decision and asks the client's socket; seen to fail without.

--- a/crates/stonevane-node/src/driver.rs
+++ b/crates/stonevane-node/src/driver.rs
@@ -294,8 +294,12 @@
                 Output::Part(id) => {
                     if state.core.parts(id)
                         && self.drained(state, id, true)
-                        && state.links.remove(&id).is_some()
+                        && let Some(link) = state.links.remove(&id)
                     {
+                        // Its end is told at once, not when its task has gone: a client that learns of it sends nothing more.
+                        if let Some(stream) = &link.stream {
+                            let _ = rustix::net::shutdown(stream, rustix::net::Shutdown::Write);
+                        }
                         self.tell(state, Input::Ended(id));
                     }
                 }
@@ -579,3 +583,75 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use std::io::Read;
+
+    use spardeal::settings::Deployment;
+    use spardeal::{Class, Settings, Tenant};
+    use stonevane_config::operator;
+    use stonevane_core::{Listing, Setup};
+
+    fn core(clock: Clock) -> Core {
+        let one = |name: &str| vec![name.to_owned()];
+        let settings = Settings {
+            classes: vec![Class::default()],
+            tenants: vec![Tenant { quota_per_s: 1e3 }],
+            ..Settings::default()
+        };
+        let deployment = Deployment {
+            settings,
+            classes: one("read"),
+            tenants: one("all"),
+            zones: one("a"),
+            kinds: one("cache"),
+            connect_timeout: 100_000,
+            idle_close: 10_000_000,
+            max_open: 100,
+            load_names: Vec::new(),
+        };
+        let setup = Setup {
+            deployment,
+            seed: 1,
+            sockets: 64,
+            memory_mb: 16,
+            known: Listing::default(),
+            discovery: SocketAddr::from(([127, 0, 0, 1], 9)),
+            clients: operator::Clients::default(),
+            servers: operator::Servers::default(),
+            store: false,
+            copies: false,
+            others: 0,
+            replaced: false,
+            excluded: Vec::new(),
+        };
+        Core::new(clock.now(), setup)
+    }
+
+    #[test]
+    fn a_client_between_requests_learns_of_its_connections_end_in_the_turn_that_decides_it() {
+        // Found where the turn after went into slow files: clients wrote to connections that were closed over it.
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+        runtime.block_on(async {
+            let clock = Clock::start();
+            let driver = Driver::new(core(clock), clock, Kept::new(None), None, None);
+            let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+            let mut client = std::net::TcpStream::connect(listener.local_addr().unwrap()).unwrap();
+            let listens = tokio::spawn(driver.clone().listen(listener));
+            driver.input(Input::Wake);
+            while driver.standing().0.places == 0 {
+                tokio::task::yield_now().await;
+            }
+            driver.input(Input::Terminate);
+            // From here on the runtime gets no turn.
+            std::thread::sleep(Duration::from_millis(600));
+            driver.input(Input::Wake);
+            assert_eq!(driver.standing().0.places, 0, "it is closed");
+            client.set_nonblocking(true).unwrap();
+            assert_eq!(client.read(&mut [0]).map_err(|e| e.kind()), Ok(0), "and its client knows");
+            listens.abort();
+        });
+    }
+}
