Log lists, states and reasons; count refusals, retries and closes; trace requests

Now a line for each list taken in (version, lines by state, servers in slow start) and each change of state; counts of each reason on /metrics (decisions, closes); with SPARDEAL_TRACE=1 a line for each step of each request, under its client's id, and for each close. Off by default; no decision changes. Tests of module, core, simulation and adapter green.

--- a/crates/spardeal-drill/src/codec.rs
+++ b/crates/spardeal-drill/src/codec.rs
@@ -266,6 +266,8 @@
                 put(&mut r, 3, &to.unwrap_or(u32::MAX).to_le_bytes());
                 self.put_tail(&mut r, 7, bytes);
             }
+            // The simulator's wire has no place for it.
+            Action::Explain { .. } => return,
             Action::Log(text) => {
                 r[0] = 9;
                 self.put_tail(&mut r, 3, text.as_bytes());
--- a/crates/stonevane-core/src/figures.rs
+++ b/crates/stonevane-core/src/figures.rs
@@ -32,6 +32,10 @@
     pub reloads_ok: u64,
     /// Files turned down at SIGHUP.
     pub reloads_failed: u64,
+    /// Refusals, failures, waits, retries and second copies by their reason.
+    pub decisions: BTreeMap<&'static str, u64>,
+    /// Connections closed by this process, by the reason.
+    pub closes: BTreeMap<&'static str, u64>,
 }
 
 impl Figures {
@@ -103,6 +107,10 @@
     pub reloads_ok: u64,
     /// Files turned down at SIGHUP.
     pub reloads_failed: u64,
+    /// Refusals, failures, waits, retries and second copies by their reason.
+    pub decisions: &'a BTreeMap<&'static str, u64>,
+    /// Connections closed by this process, by the reason.
+    pub closes: &'a BTreeMap<&'static str, u64>,
     /// The regions in use; not there without `[regions]`.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub regions: Option<RegionFigures>,
--- a/crates/stonevane-core/src/lib.rs
+++ b/crates/stonevane-core/src/lib.rs
@@ -20,6 +20,7 @@
 mod scope;
 mod servers;
 mod timers;
+mod trace;
 
 pub use faults::{Faults, Honest, Mutant};
 pub use figures::{Counts, RegionFigures, Report};
@@ -29,3 +30,4 @@
 pub use reply::{ConnId, Reply};
 pub use request::Command;
 pub use servers::cache;
+pub use trace::CloseReason;
--- a/crates/stonevane-core/src/node.rs
+++ b/crates/stonevane-core/src/node.rs
@@ -28,6 +28,7 @@
 use crate::scope::{Listed, Scope};
 use crate::servers::{Conn, Pool, Read, Speaks, State};
 use crate::timers::{Due, Timers};
+use crate::trace::{CloseReason, Trace};
 
 /// After SIGTERM, connections go on being taken for this long: new ones keep coming for up to 0.4 s.
 const ACCEPT_ON: Micros = 450_000;
@@ -96,6 +97,7 @@
 }
 
 struct Server {
+    name: Box<str>,
     address: SocketAddr,
     /// Its entry in the list, in the module's form but for zone and kind, which are names here.
     line: ServerLine,
@@ -165,6 +167,7 @@
     /// The settings that hold once clients have had their time, where others came a moment ago.
     settles: Option<(Micros, Box<Deployment>)>,
     figures: Figures,
+    trace: Trace,
     /// Where each class is counted.
     counted: Vec<usize>,
     /// Names of the servers that are out by hand.
@@ -297,6 +300,7 @@
             out: Outputs::new(),
             settles: None,
             figures: Figures::default(),
+            trace: Trace::default(),
             counted: Vec::new(),
             excluded: HashMap::new(),
             deployment,
@@ -466,13 +470,13 @@
             self.timers.retain(|due| !stale(*due));
         }
         if self.phase == Phase::Starting && self.servers.values().any(|s| s.condition == Condition::Ready) {
-            self.phase = Phase::Ready;
+            self.enter(Phase::Ready);
         }
         // Connections to servers that stand idle give way to clients that want a place: beyond the part that is theirs as
         // soon as few are left, else when none is.
         while self.free() == 0 || self.free() < self.refusals && self.pool.len() > self.places - self.part {
             let Some(idle) = self.pool.longest_idle() else { break };
-            self.close_server(idle);
+            self.close_server(idle, CloseReason::PlaceWanted);
         }
         self.make_room();
     }
@@ -507,21 +511,21 @@
             Due::Subset => self.subset_again(),
             Due::Sweep => {
                 let gone = self.pool.sweep(self.now);
-                gone.into_iter().for_each(|id| self.out.push_back(Output::Close(id)));
+                gone.into_iter().for_each(|id| self.closes(id, CloseReason::Idle));
                 self.timers.push(self.now + self.standstill().due, Due::Sweep);
             }
             Due::Last => self.tell(Event::Ending),
             Due::Drain => {
-                self.phase = Phase::Draining;
+                self.enter(Phase::Draining);
                 if !self.succeeded {
                     self.out.push_back(Output::Draining);
                 }
-                self.clients.between().into_iter().for_each(|id| self.part(id));
+                self.clients.between().into_iter().for_each(|id| self.part(id, CloseReason::Drain));
                 if self.faults.plays(Mutant::LoseAtTerm) {
                     let mut all: Vec<_> = self.clients.sessions.keys().copied().collect();
                     all.sort_unstable();
                     for id in all {
-                        self.out.push_back(Output::Close(id));
+                        self.closes(id, CloseReason::Drain);
                         self.client_gone(id);
                     }
                 }
@@ -538,6 +542,35 @@
         }
     }
 
+    fn log(&mut self, line: String) {
+        self.out.push_back(Output::Log(Note::Module(line)));
+    }
+
+    fn enter(&mut self, phase: Phase) {
+        if self.phase != phase {
+            self.log(format!("state: {:?} -> {phase:?}, {} requests owed", self.phase, self.owed));
+        }
+        self.phase = phase;
+    }
+
+    /// One line for each list that is taken in.
+    fn log_list(&mut self, kind: ListKind, lines: &[ServerLine]) {
+        let count = |condition| lines.iter().filter(|line| line.condition == condition).count();
+        let warm_up = self.deployment.settings.warm_up;
+        let cold = |line: &&ServerLine| line.started != 0 && self.now < line.started.saturating_add(warm_up);
+        let in_slow_start = lines.iter().filter(cold).count();
+        self.log(format!(
+            "list: version {} ({kind:?}), {} lines: {} ready, {} draining, {} gone, {in_slow_start} in slow start; {} \
+             servers known",
+            self.index.unwrap_or(0),
+            lines.len(),
+            count(Condition::Ready),
+            count(Condition::Draining),
+            count(Condition::Gone),
+            self.servers.len(),
+        ));
+    }
+
     fn terminate(&mut self) {
         if self.ends_at.is_some() {
             return;
@@ -546,11 +579,17 @@
         let longest = longest.unwrap_or(0).min(LONGEST_DRAIN);
         let ends_at = self.now + longest + DRAIN_SLACK;
         self.ends_at = Some(ends_at);
+        self.log(format!(
+            "state: told to end, within {} ms; {} requests owed, {} clients connected",
+            (ends_at - self.now) / 1_000,
+            self.owed,
+            self.clients.sessions.len()
+        ));
         self.timers.push(ends_at - LAST, Due::Last);
         if self.succeeded {
             // Who has a kept connection goes on using it for as long as it stays open: each is closed right behind an
             // answer, when nothing can be on its way, and one that brings no request by then when its time is up.
-            self.phase = Phase::Draining;
+            self.enter(Phase::Draining);
             self.out.push_back(Output::Succeeded);
             self.timers.push(self.now + longest, Due::Drain);
         } else {
@@ -586,10 +625,10 @@
     /// A client gives its place up.
     fn give_way(&mut self, other: ConnId) {
         if self.clients.sessions.get(&other).is_some_and(|session| session.lingers) {
-            self.out.push_back(Output::Close(other));
+            self.closes(other, CloseReason::MadeRoom);
             self.client_gone(other);
         } else {
-            self.part(other);
+            self.part(other, CloseReason::MadeRoom);
         }
     }
 
@@ -707,11 +746,11 @@
             }
             match session.over(self.now, memory) {
                 Over::Gone => {
-                    self.out.push_back(Output::Close(id));
+                    self.closes(id, CloseReason::TimeLimit);
                     self.client_gone(id);
                 }
                 Over::Broken => self.client(id),
-                Over::Idle => self.part(id),
+                Over::Idle => self.part(id, CloseReason::TimeLimit),
             }
             return;
         }
@@ -720,17 +759,17 @@
             match (conn.state, conn.attempt) {
                 (State::Reading, _) => self.spoilt(id),
                 (State::Passing, _) => {
-                    self.out.push_back(Output::Close(id));
+                    self.closes(id, CloseReason::ValueBroken);
                     self.lost(id);
                 }
-                (State::Idle, None) => self.close_server(id),
+                (State::Idle, None) => self.close_server(id, CloseReason::Idle),
                 (State::Resting, Some(key)) => {
                     (conn.state, conn.limit) = (State::Idle, None);
                     self.write(key, id);
                     self.run_events();
                 }
                 _ => {
-                    self.out.push_back(Output::Close(id));
+                    self.closes(id, CloseReason::TimeLimit);
                     self.lost(id);
                 }
             }
@@ -786,7 +825,8 @@
             self.figures.class(passage.counted).served += 1;
             self.owed -= 1;
         }
-        if session.broken && !session.owes() && !session.lingers {
+        let ends = session.broken && !session.owes() && !session.lingers;
+        if ends {
             session.lingers = true;
             self.out.push_back(Output::Linger(id));
         }
@@ -797,17 +837,21 @@
         let limit = session.limit(memory, &self.clients.limits);
         session.armed.arm(limit, id, &mut self.timers);
         from.into_iter().for_each(|conn| self.resume(conn));
+        if ends {
+            self.note_close(id, CloseReason::AfterError);
+        }
         let Some(session) = self.clients.sessions.get_mut(&id) else { return };
         if self.phase == Phase::Draining && session.between() && (session.first > 0 || !self.succeeded) {
-            self.part(id);
+            self.part(id, CloseReason::Drain);
         }
         self.clients.note(id);
     }
 
     /// Closes a client's connection between requests, unless it has brought something meanwhile.
-    fn part(&mut self, id: ConnId) {
+    fn part(&mut self, id: ConnId, reason: CloseReason) {
         let Some(session) = self.clients.sessions.get_mut(&id) else { return };
         if !std::mem::replace(&mut session.parting, true) {
+            self.note_close(id, reason);
             self.out.push_back(Output::Part(id));
         }
         self.clients.note(id);
@@ -823,7 +867,7 @@
                 *(if passage.broken { &mut counts.failed } else { &mut counts.left }) += 1;
                 self.owed -= 1;
                 if self.pool.get(passage.conn).is_some_and(|conn| conn.to.is_some()) {
-                    self.close_server(passage.conn);
+                    self.close_server(passage.conn, CloseReason::GivenUp);
                 }
                 continue;
             }
@@ -851,7 +895,7 @@
     fn withdraw(&mut self, key: AttemptKey) {
         let conn = self.attempts.get(&key).map(|attempt| attempt.conn);
         if let Some(id) = conn.filter(|id| self.pool.get(*id).is_some_and(|c| c.state == State::Writing)) {
-            self.close_server(id);
+            self.close_server(id, CloseReason::GivenUp);
             self.end(key, Status::NotSent);
         }
     }
@@ -898,12 +942,14 @@
         if session.late && crowded {
             session.broken = true;
             counts.refused += 1;
-            return session.answer_now("-BUSY\r\n");
+            session.answer_now("-BUSY\r\n");
+            return self.turned_away("table-full", &command.id);
         }
         session.late = false;
         if self.clients.ids.contains(&command.id) {
             counts.failed += 1;
-            return session.answer_now("-ERR a request with this id is open\r\n");
+            session.answer_now("-ERR a request with this id is open\r\n");
+            return self.turned_away("id-open", &command.id);
         }
         // Forced by memory: a request that finds the table full is turned away, and was never sent. What it holds is
         // its value, and the same on its way to the origin.
@@ -912,7 +958,8 @@
         let share = self.memory.try_take(PIECE + 2 * value).filter(|_| self.owed < most);
         let Some(share) = share else {
             counts.refused += 1;
-            return session.answer_now("-BUSY\r\n");
+            session.answer_now("-BUSY\r\n");
+            return self.turned_away("too-much-open", &command.id);
         };
         let id = self.next_request;
         self.next_request += 1;
@@ -951,6 +998,12 @@
         self.tell(Event::Request(request));
     }
 
+    /// Counts and traces a request that the module is never told of.
+    fn turned_away(&mut self, reason: &'static str, id: &[u8]) {
+        *self.figures.decisions.entry(reason).or_default() += 1;
+        self.trace(format_args!("request {} turned away: {reason}", String::from_utf8_lossy(id)));
+    }
+
     /// Gives the final answer, the first only.
     fn answer(&mut self, id: RequestId, says: Final) {
         let Some(open) = self.open.get(&id).filter(|open| !open.over) else { return };
@@ -960,6 +1013,8 @@
             None => (Final::Failed, None),
         };
         let (client, mut slot) = (open.client, open.slot);
+        self.trace_request(id, format_args!("answered: {}", says.name()));
+        let Some(open) = self.open.get(&id) else { return };
         let counts = self.figures.class(open.counted);
         *match says {
             Final::Served(_) => &mut counts.served,
@@ -1035,6 +1090,7 @@
             Action::Subscribe(false) => self.ask(Ask::Unwatch),
             Action::FetchList => self.ask(Ask::Fetch),
             Action::CloseIdle(server) => self.close_idle(server),
+            Action::Explain { request, reason } => self.explain(request, reason.name()),
             Action::Log(line) => self.out.push_back(Output::Log(Note::Module(line))),
             Action::Fault(line) => self.out.push_back(Output::Log(Note::Fault(line))),
             // This module neither probes nor speaks to peers; the sockets for it are not built.
@@ -1058,6 +1114,10 @@
         let conn = target.and_then(|(address, speaks)| self.connection(server, address, speaks, key));
         // Forced by the limit on sockets, where there is no connection to send this on.
         let (conn, up) = conn.unwrap_or((0, false));
+        if self.trace.is_on() {
+            let name = self.server_name(server).to_owned();
+            self.trace_request(id, format_args!("attempt {} to {name} on connection {conn}", key.1));
+        }
         self.attempts.insert(key, Attempt { server, sent: self.now, conn, first_on_connection: false });
         if conn == 0 {
             return self.end(key, Status::NotSent);
@@ -1078,7 +1138,7 @@
     ) -> Option<(ConnId, bool)> {
         let mut gone = Vec::new();
         let idle = self.pool.reuse(server, key, self.now, &mut gone);
-        gone.into_iter().for_each(|id| self.out.push_back(Output::Close(id)));
+        gone.into_iter().for_each(|id| self.closes(id, CloseReason::Idle));
         if let Some(id) = idle {
             return Some((id, true));
         }
@@ -1108,7 +1168,7 @@
         if self.full()
             && let Some(idle) = self.pool.longest_idle()
         {
-            self.close_server(idle);
+            self.close_server(idle, CloseReason::PlaceWanted);
         }
         if self.full() {
             return None;
@@ -1155,8 +1215,9 @@
             return self.arm(id);
         }
         conn.carried += 1;
+        let first = conn.carried == 1;
         if let Some(attempt) = self.attempts.get_mut(&key) {
-            attempt.first_on_connection = conn.carried == 1;
+            attempt.first_on_connection = first;
         }
         let left_ms = ((open.ends - self.now) / 1_000).max(LEAST_TIME_LEFT_MS);
         match conn.speaks.encode(&open.command, left_ms, conn.address) {
@@ -1182,7 +1243,7 @@
         self.pool.answered(id, reply.status == Status::Full);
         match (reply.keep, self.attempts.get(&key).map(|attempt| attempt.server)) {
             (true, Some(server)) => self.release(id, server),
-            _ => self.close_server(id),
+            _ => self.close_server(id, CloseReason::AnswerEnds),
         }
         self.end_with(key, reply);
         self.run_events();
@@ -1194,7 +1255,7 @@
         let Some(key) = self.pool.get(id).and_then(|conn| conn.attempt) else { return };
         let open = self.open.get(&key.0).filter(|open| !open.over);
         let Some((client, slot, counted)) = open.map(|open| (open.client, open.slot, open.counted)) else {
-            self.close_server(id);
+            self.close_server(id, CloseReason::GivenUp);
             return self.end(key, Status::Cancelled);
         };
         self.heard(key);
@@ -1202,7 +1263,7 @@
         let head = format!("${length}\r\n").into();
         let session = self.clients.sessions.get_mut(&client);
         if !session.is_some_and(|session| session.begin(slot, id, counted, head, share)) {
-            self.close_server(id);
+            self.close_server(id, CloseReason::AnswerEnds);
         }
         self.end_with(key, Reply::bare(Status::Served, true));
         self.run_events();
@@ -1228,7 +1289,7 @@
             self.pool.answered(id, false);
             match keep {
                 true => self.release(id, server),
-                false => self.close_server(id),
+                false => self.close_server(id, CloseReason::AnswerEnds),
             }
         }
         if let Some((client, _)) = to {
@@ -1249,7 +1310,7 @@
             }
             None => {
                 session.breaks(slot);
-                self.out.push_back(Output::Close(client));
+                self.closes(client, CloseReason::ValueBroken);
                 self.client_gone(client);
             }
         }
@@ -1266,7 +1327,7 @@
 
     fn spoilt(&mut self, id: ConnId) {
         let key = self.pool.get(id).and_then(|conn| conn.attempt);
-        self.close_server(id);
+        self.close_server(id, CloseReason::Spoilt);
         if let Some(key) = key {
             self.heard(key);
             self.end(key, Status::Spoilt);
@@ -1281,11 +1342,11 @@
         // Counted when a request is written, which is still to come where it rests.
         let kept = conn.carried + u64::from(conn.state == State::Resting) > 1;
         if let Some((client, slot)) = conn.to {
-            self.close_server(id);
+            self.close_server(id, CloseReason::Lost);
             return self.broke(client, slot);
         }
         let torn = self.faults.plays(Mutant::ServeTorn).then(|| conn.torn()).flatten();
-        self.close_server(id);
+        self.close_server(id, CloseReason::Lost);
         let Some(key) = attempt else { return };
         if written {
             if self.faults.plays(Mutant::AnswerTwice)
@@ -1324,7 +1385,7 @@
         let address = known.filter(|_| self.uses(server)).map(|s| s.address);
         // The server is gone from the list, wants nothing new, is not used any more or lives elsewhere now.
         if !self.pool.release(id, address, self.now) {
-            self.close_server(id);
+            self.close_server(id, CloseReason::NotWanted);
         }
         self.arm(id);
     }
@@ -1334,25 +1395,65 @@
         self.scope.as_ref().is_none_or(|scope| scope.contains(server))
     }
 
-    fn close_server(&mut self, id: ConnId) {
+    fn close_server(&mut self, id: ConnId, reason: CloseReason) {
         if self.pool.remove(id).is_some() {
             self.memory.forget(id);
             if !self.faults.plays(Mutant::LeakConnection) {
-                self.out.push_back(Output::Close(id));
+                self.closes(id, reason);
             }
         }
     }
 
+    fn closes(&mut self, id: ConnId, reason: CloseReason) {
+        self.note_close(id, reason);
+        self.out.push_back(Output::Close(id));
+    }
+
+    fn note_close(&mut self, id: ConnId, reason: CloseReason) {
+        *self.figures.closes.entry(reason.name()).or_default() += 1;
+        self.trace(format_args!("connection {id} closed: {}", reason.name()));
+    }
+
+    /// Switches the trace of single requests and connections on or off.
+    pub fn trace_requests(&mut self, on: bool) {
+        self.trace.switch(on);
+    }
+
+    fn trace(&mut self, text: std::fmt::Arguments<'_>) {
+        if let Some(line) = self.trace.line(text) {
+            self.out.push_back(Output::Log(Note::Module(line)));
+        }
+    }
+
+    /// Traces a step of a request, under the id that its client gave it.
+    fn trace_request(&mut self, request: RequestId, text: std::fmt::Arguments<'_>) {
+        let id = self.open.get(&request).map(|open| String::from_utf8_lossy(&open.command.id));
+        let line = id.and_then(|id| self.trace.line(format_args!("request {id} ({request}) {text}")));
+        if let Some(line) = line {
+            self.out.push_back(Output::Log(Note::Module(line)));
+        }
+    }
+
+    fn server_name(&self, server: ServerId) -> &str {
+        self.servers.get(&server).map_or("(forgotten)", |server| &server.name)
+    }
+
+    /// Counts and traces why the module does something with a request.
+    fn explain(&mut self, request: RequestId, reason: &'static str) {
+        *self.figures.decisions.entry(reason).or_default() += 1;
+        self.trace_request(request, format_args!("{reason}"));
+    }
+
     fn close_idle(&mut self, server: ServerId) {
         let gone = self.pool.remove_idle(server);
-        gone.into_iter().for_each(|id| self.out.push_back(Output::Close(id)));
+        gone.into_iter().for_each(|id| self.closes(id, CloseReason::NotWanted));
     }
 
     /// Stops waiting for an attempt, by closing its connection.
     fn give_up(&mut self, key: AttemptKey, status: Status) {
         let Some(attempt) = self.attempts.get(&key) else { return };
         let (conn, server, sent) = (attempt.conn, attempt.server, attempt.sent);
-        self.close_server(conn);
+        self.close_server(conn, CloseReason::GivenUp);
         // Against a machine that vanished: its kept connections stay open and silent, and each would cost
         // a request its whole time. A fresh one tells within the time-out of a connect.
         if self.servers.get(&server).is_some_and(|server| server.heard < sent) {
@@ -1368,6 +1469,14 @@
     /// An attempt has its outcome: the first that serves answers the client, and the module is told.
     fn end_with(&mut self, key: AttemptKey, reply: Reply) {
         let Some(attempt) = self.attempts.remove(&key) else { return };
+        if self.trace.is_on() {
+            let (name, took) = (self.server_name(attempt.server).to_owned(), self.now - attempt.sent);
+            let status = reply.status;
+            self.trace_request(
+                key.0,
+                format_args!("attempt {} at {name} ended: {status:?} after {took} us", key.1),
+            );
+        }
         let mut reply = reply;
         reply.status = match reply.status {
             Status::Reset if self.faults.plays(Mutant::ResetNotRun) => Status::ConnectFailed,
@@ -1479,7 +1588,10 @@
             let line = ServerLine { id, zone, cell, kind, weight, started, condition, sharers: 0 };
             lines.push(line.clone());
             let heard = self.servers.get(&id).map_or(0, |server| server.heard);
-            let before = self.servers.insert(id, Server { address, line, names, speaks, condition, heard });
+            let before = self.servers.insert(
+                id,
+                Server { name: entry.name.as_str().into(), address, line, names, speaks, condition, heard },
+            );
             if condition != Condition::Ready || before.is_some_and(|before| before.address != address) {
                 self.close_idle(id);
             }
@@ -1502,6 +1614,7 @@
                 self.out.push_back(Output::Placement(caches));
             }
         }
+        self.log_list(kind, &lines);
         self.tell_servers(kind, lines);
         self.withdraw_unwanted();
     }
@@ -1718,6 +1831,8 @@
             cache_servers_excluded: self.policy.avoided(),
             reloads_ok: self.figures.reloads_ok,
             reloads_failed: self.figures.reloads_failed,
+            decisions: &self.figures.decisions,
+            closes: &self.figures.closes,
             regions: self.scope.as_ref().map(Scope::figures),
         }
     }
--- a/crates/stonevane-core/src/request.rs
+++ b/crates/stonevane-core/src/request.rs
@@ -90,6 +90,15 @@
 }
 
 impl Final {
+    /// Its name in the trace.
+    pub fn name(&self) -> &'static str {
+        match self {
+            Final::Served(_) => "served",
+            Final::Refused { .. } => "refused",
+            Final::Failed => "failed",
+        }
+    }
+
     /// What it holds of the memory, in bytes.
     pub fn size(&self) -> usize {
         match self {
--- a/crates/stonevane-node/src/lib.rs
+++ b/crates/stonevane-node/src/lib.rs
@@ -32,6 +32,9 @@
 use kept::Kept;
 use store::Record;
 
+/// Set to 1, each step of each request and each connection that is closed is a line of the log.
+const TRACE: &str = "SPARDEAL_TRACE";
+
 /// Has the other processes of the node looked at now.
 async fn look(at_once: &Option<mpsc::Sender<oneshot::Sender<()>>>) {
     let Some(at_once) = at_once else { return };
@@ -89,7 +92,9 @@
         replaced,
         regions: config.operator.regions.clone(),
     };
-    let driver = Driver::new(Core::new(clock.now(), setup), clock, kept, store.clone(), fleet.clone());
+    let mut core = Core::new(clock.now(), setup);
+    core.trace_requests(std::env::var_os(TRACE).is_some_and(|value| value == "1"));
+    let driver = Driver::new(core, clock, kept, store.clone(), fleet.clone());
     // Before anything is taken: what a process that is to be replaced holds counts for both.
     let beside =
         match tmpdir.filter(|_| replaced).map(|dir| Beside::new(&dir, (clock.now(), std::process::id()))) {
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -155,7 +155,7 @@
             Event::Ending => {
                 self.ending = true;
                 let all: Vec<_> = self.held.keys().copied().collect();
-                all.into_iter().for_each(|id| self.end(id, out));
+                all.into_iter().for_each(|id| self.end(id, Reason::Ending, out));
             }
             Event::Settings { settings, tenants } => self.adopt(*settings, &tenants),
             Event::Exclude { server, out: excluded } => self.exclude(server, excluded, out),
@@ -200,10 +200,10 @@
         self.recent.push_front(r.key);
         self.recent.truncate(HOT);
         let (ends, aim_at) = (held.ends, self.useful_until(&held));
-        let admitted = self.admit(&mut held, r.tenant) && self.now < ends && !self.ending;
+        let turned_away = self.turned_away(&mut held, r.tenant);
         self.held.insert(r.id, held);
-        if !admitted {
-            return self.end(r.id, out);
+        if let Some(reason) = turned_away {
+            return self.end(r.id, reason, out);
         }
         self.admitted.count();
         self.wakes.at(ends, Wake::End(r.id));
@@ -211,6 +211,17 @@
         self.step(r.id, out);
     }
 
+    /// Why a request that has just come is turned away, if it is.
+    fn turned_away(&mut self, held: &mut Held, tenant: usize) -> Option<Reason> {
+        if !self.admit(held, tenant) {
+            Some(Reason::OverQuota)
+        } else if self.now >= held.ends {
+            Some(Reason::TimeUp)
+        } else {
+            self.ending.then_some(Reason::Ending)
+        }
+    }
+
     /// A tenant's token bucket fills with this balancer's part of its quota, times the level, so that those
     /// furthest over are turned away first. A rate measured from the handful that one of many balancers sees
     /// would turn away those within their quotas.
@@ -235,8 +246,11 @@
     /// Chooses and makes the next call of a request that has none out.
     fn step(&mut self, id: RequestId, out: &mut Vec<Action>) {
         let Some(h) = self.held.get(&id) else { return };
-        if self.now >= self.useful_until(h) || u32::from(h.sent) >= self.most(h) {
-            return self.end(id, out);
+        if self.now >= self.useful_until(h) {
+            return self.end(id, Reason::TimeUp, out);
+        }
+        if u32::from(h.sent) >= self.most(h) {
+            return self.end(id, Reason::AttemptsUsed, out);
         }
         if h.write || h.missed {
             return self.origin_call(id, out);
@@ -247,10 +261,10 @@
             if let Some(h) = self.held.get_mut(&id) {
                 h.back_after = spread as Micros;
             }
-            return self.end(id, out);
+            return self.end(id, Reason::Starting, out);
         }
         if !self.pick(id).is_some_and(|server| self.send(id, server, Call::Cache, out)) {
-            self.end(id, out);
+            self.end(id, Reason::NoServer, out);
         }
     }
 
@@ -396,7 +410,7 @@
         match target.filter(|_| joins || !shut && self.gate_open(call)) {
             None => self.postpone(id, out),
             Some(target) if self.send(id, target, call, out) => {}
-            Some(_) => self.end(id, out),
+            Some(_) => self.end(id, Reason::MayHaveRun, out),
         }
     }
 
@@ -443,11 +457,14 @@
         let delay = self.delay(self.held[&id].class);
         let h = &self.held[&id];
         // Behind an origin that has stopped none waits: each is told at once, and when to come back.
-        if self.now + delay >= self.useful_until(h) || self.now < self.gate.shut_until {
+        let stopped = self.now < self.gate.shut_until;
+        let reason = if stopped { Reason::OriginStopped } else { Reason::GateShut };
+        if stopped || self.now + delay >= self.useful_until(h) {
             return if h.out == 0 {
-                self.end(id, out)
+                self.end(id, reason, out)
             };
         }
+        out.push(Action::Explain { request: id, reason });
         if let Some(h) = self.held.get_mut(&id) {
             h.wait += 1;
             self.wakes.at(self.now + delay, Wake::Go(id, h.wait));
@@ -571,11 +588,15 @@
                 Effect::Keyed { .. } => matches!(o.status, Status::Spoilt | Status::Error | Status::Reset),
                 Effect::Unsafe => false,
             };
-            if self.repeats < cost || !repeatable {
-                return self.end(o.request, out);
+            if !repeatable {
+                return self.end(o.request, Reason::MayHaveRun, out);
+            }
+            if self.repeats < cost {
+                return self.end(o.request, Reason::RepeatsUsed, out);
             }
             self.repeats -= cost;
         }
+        out.push(Action::Explain { request: o.request, reason: Reason::Retry(o.status) });
         self.step(o.request, out);
     }
 
@@ -735,6 +756,7 @@
         let open = only && self.repeats >= 1.0 && (call == Call::Cache || self.gate_open(call));
         if open && self.send(id, f.server, call, out) {
             self.repeats -= 1.0;
+            out.push(Action::Explain { request: id, reason: Reason::AnswerLost });
         }
     }
 
@@ -751,6 +773,7 @@
         h.tried.push(server);
         if self.pick(id).is_some_and(|next| self.send(id, next, Call::Cache, out)) {
             self.repeats -= 1.0;
+            out.push(Action::Explain { request: id, reason: Reason::SecondCopy });
         }
     }
 
@@ -762,13 +785,14 @@
         let Some(h) = self.held.get(&id) else { return };
         let origin = |attempt| self.flights.get(&(id, attempt)).is_some_and(|f| f.call != Call::Cache);
         if self.now >= h.ends || !(0..h.sent).any(origin) {
-            self.end(id, out);
+            self.end(id, Reason::TimeUp, out);
         }
     }
 
     /// The one place that gives a final answer: a refusal where a retry is harmless, else a failure.
-    fn end(&mut self, id: RequestId, out: &mut Vec<Action>) {
+    fn end(&mut self, id: RequestId, reason: Reason, out: &mut Vec<Action>) {
         let Some(h) = self.held.get(&id) else { return };
+        out.push(Action::Explain { request: id, reason });
         // A quota is of answers: what was not served is given back, else one held to its quota gets less.
         let charged = h.charged.filter(|_| self.level >= LEVEL.1);
         charged.and_then(|tenant| self.senders.get_mut(tenant)).into_iter().for_each(Bucket::give_back);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -339,6 +339,22 @@
     pub fn proves_not_run(self) -> bool {
         matches!(self, Status::Miss | Status::Full | Status::ConnectFailed | Status::NotSent)
     }
+
+    /// The name of a retry after this outcome.
+    fn retry_name(self) -> &'static str {
+        match self {
+            Status::Served => "retry-after-served",
+            Status::Miss => "retry-after-miss",
+            Status::Error => "retry-after-error",
+            Status::Full => "retry-after-full",
+            Status::Spoilt => "retry-after-spoilt",
+            Status::ConnectFailed => "retry-after-connect-failed",
+            Status::TimedOut => "retry-after-timeout",
+            Status::Reset => "retry-after-reset",
+            Status::Cancelled => "retry-after-cancel",
+            Status::NotSent => "retry-after-not-sent",
+        }
+    }
 }
 
 /// What a server said of the key in its answer.
@@ -448,6 +464,58 @@
     },
 }
 
+/// Why a request is refused, fails, waits, or is sent once more.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Reason {
+    /// Its tenant is over its quota.
+    OverQuota,
+    /// Its time is up.
+    TimeUp,
+    /// It has made all attempts that it may.
+    AttemptsUsed,
+    /// This process is about to end.
+    Ending,
+    /// This process has just started and has all out that it may.
+    Starting,
+    /// No server may be sent it: none is known, or those that are have no room.
+    NoServer,
+    /// The origin is known to have stopped.
+    OriginStopped,
+    /// The gate before the origin is shut.
+    GateShut,
+    /// An attempt may have run, and may not be repeated.
+    MayHaveRun,
+    /// The budget of repeats is used up.
+    RepeatsUsed,
+    /// Sent once more after an attempt that ended so.
+    Retry(Status),
+    /// Sent to a second server while the first is slow.
+    SecondCopy,
+    /// Sent once more: the answer of an attempt is lost.
+    AnswerLost,
+}
+
+impl Reason {
+    /// Its name in logs and counts.
+    pub fn name(self) -> &'static str {
+        match self {
+            Reason::OverQuota => "over-quota",
+            Reason::TimeUp => "time-up",
+            Reason::AttemptsUsed => "attempts-used",
+            Reason::Ending => "ending",
+            Reason::Starting => "starting",
+            Reason::NoServer => "no-server",
+            Reason::OriginStopped => "origin-stopped",
+            Reason::GateShut => "gate-shut",
+            Reason::MayHaveRun => "may-have-run",
+            Reason::RepeatsUsed => "repeats-used",
+            Reason::SecondCopy => "second-copy",
+            Reason::AnswerLost => "answer-lost",
+            Reason::Retry(status) => status.retry_name(),
+        }
+    }
+}
+
 /// Something that the node is to do, in the order given.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Action {
@@ -498,6 +566,13 @@
         /// The bytes.
         bytes: Vec<u8>,
     },
+    /// Why a request is answered so, waits, or is sent again by the action beside this one: for logs and counts.
+    Explain {
+        /// The request.
+        request: RequestId,
+        /// Why.
+        reason: Reason,
+    },
     /// A line for the log.
     Log(String),
     /// The module cannot go on.
