Slow start: a share of one budget in place of an attempt for each process

Cause: the bucket of a server in slow start held one attempt at each balancer whatever its share, and let a second through in the next microsecond (level < depth): the sum was the number of balancers, or twice that, for any key asked for by all of them. A key was known for popular only where one balancer saw it twice in 64 requests. The rate followed the weight of the servers left. Change: slow_start.rs. Where the rate earns less than an attempt in a window, a request passes by chance, as likely as the rate has earned one since its key was last asked for here (or the process began): all balancers together get the rate of all, for any popularity. The check wants room for a whole attempt; repeats to where an answer was lost go through it too; rate and key draws go by the most weight the fleet had. placement.rs: one pass over a dense table, 16 first places looked at, in place of a walk over all servers.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -8,15 +8,8 @@
 use crate::interface::*;
 use crate::state::*;
 
-/// Load bound: a server is skipped from this multiple of its part of this balancer's attempts in flight: the
-/// first where the origin has room for the fetch a skip costs, the second where it holds calls up; never
-/// below this balancer's part of the third, else a quiet one would scatter its keys.
-/// The origin is without room when the fourth, as a part of the calls, finds the gate shut.
-const BOUND: (f64, f64, f64, f64) = (1.25, 3.0, 8.0, 0.05);
-/// A server whose queue takes longer than this part of the time left is full.
-const FULL: f64 = 0.5;
 /// Answers that a server is credited with before any were seen: a few in flight at an idle one pass.
-const PRIOR: f64 = 2.0;
+pub(crate) const PRIOR: f64 = 2.0;
 /// Gate: outstanding origin calls of one balancer at most, and at most for each request a second that is its
 /// share, whichever is more; it starts from half, the note's default.
 const GATE_OUT: (f64, f64) = (20.0, 0.06);
@@ -64,8 +57,6 @@
 const POOL: f64 = 0.8;
 /// What a review keeps of the counts before it, while more than this many are left to judge by.
 const FADE: (f64, f64) = (0.85, 10.0);
-/// A cold server gets this multiple of a warm server's attempts, scaled by its present part of capacity.
-const COLD_RATE: f64 = 1.5;
 /// A call to discovery that failed is made again after between these parts of the time within which it must
 /// be asked: the first, the second, and any later one. Against balancers that all ask at once: it takes a
 /// call of each in about that time, and works calls off in turn, those too that have waited for too long. Two
@@ -79,16 +70,12 @@
 const RAMP: f64 = 0.25;
 /// Who is refused by the start of a life comes back within this part of its time, spread: many are at once.
 const RAMP_BACK: f64 = 0.5;
-/// A server put back by hand that none of its keys has come by for so long gets the next read.
-const BACK: Micros = 1_000_000;
-/// A key is hot that was asked for before among so many requests here: a part of all, whatever N is.
-const HOT: usize = 64;
-
 impl Policy {
     /// A balancer that knows its settings and nothing else yet.
     pub fn new(settings: Settings, seed: u64) -> Self {
         let mut policy = Policy {
             rng: Random::new(seed),
+            salt: unit_hash(seed, settings.me, 6).to_bits(),
             level: LEVEL.1,
             part: 1.0,
             repeats: REPEATS.1,
@@ -197,8 +184,9 @@
         };
         held.aim_at = (self.now + held.class.aim).saturating_sub(margin);
         self.repeats = (self.repeats + REPEATS.0).min(REPEATS.2);
-        self.recent.push_front(r.key);
-        self.recent.truncate(HOT);
+        let recency = self.keys.ask(r.key, self.now);
+        held.popular = recency.popular;
+        held.unseen_for = self.now.saturating_sub(recency.unseen_since.max(self.born));
         let (ends, aim_at) = (held.ends, self.useful_until(&held));
         let turned_away = self.turned_away(&mut held, r.tenant);
         self.held.insert(r.id, held);
@@ -284,121 +272,26 @@
         h.most.min(self.settings.max_attempts)
     }
 
-    fn useful_until(&self, h: &Held) -> Micros {
+    pub(crate) fn useful_until(&self, h: &Held) -> Micros {
         if h.class.late_worth > 0.0 { h.ends } else { h.aim_at.min(h.ends) }
     }
 
-    // The key's order.
-
-    /// The first server in the key's order within the load bound, else the first; none where that is full.
-    fn pick(&self, id: RequestId) -> Option<ServerId> {
-        let h = &self.held[&id];
-        let key = if h.key == 0 { id } else { h.key };
-        let left = self.useful_until(h).saturating_sub(self.now) as f64;
-        let multiple = BOUND.0 + (BOUND.1 - BOUND.0) * (self.gate.pressed.value() / BOUND.3).min(1.0);
-        let bound = multiple * f64::from(self.cache_out + 1) / self.total;
-        let mut best = None;
-        // Against a server put back that no key of its own comes by for long: nothing could be learned of it.
-        let due = |s: &Server| s.back != 0 && self.now >= s.back + BACK;
-        let may = |s: &&Server| !h.tried.contains(&s.line.id) && self.warm_enough(key, s, due(s));
-        for s in self.ready(false).filter(may) {
-            // Last, not left out: when most look bad the cause is shared, and there is no better place.
-            let aside = s.aside.0 != 0 && (self.now < s.aside.0 || s.in_flight > 0);
-            // Against servers whose weights hide how slow they are: the floor is one in time, and so fewer in
-            // flight at a slow one and, up to twice as many, more at a quick one.
-            // All of it from one is a crowd.
-            let floor = BOUND.2 / f64::from(self.sharers(s).max(2));
-            let floor = if s.takes > 0.0 { floor * (self.pace / s.takes).min(2.0) } else { floor };
-            let over = f64::from(s.in_flight) >= (bound * self.weight(s)).max(floor);
-            let full = over || self.queue(id, s) > left * FULL;
-            let place = (aside, full, !due(s), self.place(key, s), s.line.id);
-            if best.is_none_or(|b| place < b) {
-                best = Some(place);
-            }
-        }
-        // Passing over a full server for one far down the order would scatter the keys and empty the caches.
-        let backlog = |s: &Server| if self.level < LEVEL.2 { self.backlog(s) } else { 0.0 };
-        let full = |s: &Server| self.queue(id, s).max(backlog(s)) > left * FULL;
-        best.map(|(.., server)| server).filter(|server| !full(&self.servers[server]))
-    }
-
-    /// Wait at a server by what the list tells of the requests that all balancers together have there. Each
-    /// request takes it for more or less, else all balancers would turn away, and come back, in step.
-    fn queue(&self, id: RequestId, s: &Server) -> f64 {
-        let wait = self.service * s.held_per_core();
-        if wait > 0.0 { wait * (0.5 + unit_hash(id, s.line.id, 2)) } else { 0.0 }
-    }
-
-    /// Time until a server has answered what this balancer has in flight there, at the pace of its latest
-    /// answers (Little's law), with a credit for a server that has had little to answer.
-    fn backlog(&self, s: &Server) -> f64 {
-        f64::from(s.in_flight) * self.aim as f64 / (s.answered_lately(self.now, self.aim) + PRIOR)
-    }
-
-    fn ready(&self, origin: bool) -> impl Iterator<Item = &Server> {
-        self.servers.values().filter(move |s| s.open() && s.origin == origin)
-    }
-
-    fn weight(&self, s: &Server) -> f64 {
-        self.settings.cache_weight_of(s.line.weight)
-    }
-
-    /// Place of a server in a key's order, the smaller the earlier (weighted rendezvous hashing): the same
-    /// at every balancer, and little moves when a server comes or goes.
-    fn place(&self, key: Key, s: &Server) -> f64 {
-        let draw = unit_hash(key, s.line.id, 0);
-        // The same order without the logarithm, which was most of a pick at 475 servers.
-        if self.settings.weights_are_sizes { -draw.ln() / self.weight(s) } else { -draw }
-    }
-
-    /// Part of its capacity that a server has at the least, some time after its start.
-    fn warmth(&self, s: &Server) -> f64 {
-        let age = self.now.saturating_sub(s.line.started) as f64 / self.settings.warm_up.max(1) as f64;
-        let share = self.settings.cold_share;
-        if s.line.started == 0 { 1.0 } else { (share + (1.0 - share) * age).min(1.0) }
-    }
-
-    /// Against pushing a cold server over: it gets a part of its keys that grows as it warms, the same
-    /// keys from every balancer, and from each no more than a part of a warm server's requests.
-    fn warm_enough(&self, key: Key, s: &Server, any: bool) -> bool {
-        let warmth = self.warmth(s);
-        let room = |(level, depth)| level < depth;
-        // A hot key would come from all balancers at once, from each within its bucket.
-        let hot = || self.recent.iter().filter(|recent| **recent == key).count() > 1;
-        let draws = any || unit_hash(key, s.line.id, 1) < warmth;
-        warmth >= 1.0 || (draws && room(self.cold_bucket(s)) && !hot())
-    }
-
-    /// Level and depth of the bucket of attempts at a server, as cold as it is.
-    fn cold_bucket(&self, s: &Server) -> (f64, f64) {
-        let share = self.share() * self.portion(s);
-        let total = self.total.max(self.settings.cache_weight);
-        let rate = self.part * COLD_RATE * self.warmth(s) * share * self.weight(s) / total / 1e6;
-        let level = s.cold.0 - rate * (self.now - s.cold.1) as f64;
-        (level.max(0.0), (rate * self.settings.fall_after as f64 / 2.0).max(1.0))
-    }
-
-    /// Balancers among which what a server bears is divided.
-    fn sharers(&self, s: &Server) -> u32 {
-        if s.line.sharers == 0 { self.settings.balancers } else { s.line.sharers }
-    }
-
-    /// How many equal parts of all balancers are this one's at a server.
-    fn portion(&self, s: &Server) -> f64 {
-        f64::from(self.settings.balancers.max(1)) / f64::from(self.sharers(s).max(1))
-    }
-
     /// Requests a second that are this balancer's to serve.
-    fn share(&self) -> f64 {
+    pub(crate) fn share(&self) -> f64 {
         if self.quota_share > 0.0 { self.quota_share } else { self.admitted.per_s }
     }
 
+    /// Whether tenants are held back at all.
+    pub(crate) fn shedding(&self) -> bool {
+        self.level < LEVEL.2
+    }
+
     // Calls to the origin.
 
     fn origin_call(&mut self, id: RequestId, out: &mut Vec<Action>) {
         let call = if self.held[&id].write { Call::Write } else { Call::Fetch };
         let target = match self.settings.origin_kind {
-            Some(_) => self.ready(true).map(|s| s.line.id).next(),
+            Some(_) => self.origin,
             // Servers that fetch for themselves take writes too.
             None => self.pick(id),
         };
@@ -487,18 +380,19 @@
             && u32::from(h.sent) < self.most(h)
             && s.open()
             && (h.out == 0 || self.settings.may_duplicate)
+            && self.in_slow_start_share(s)
             && self.may_repeat(h, server);
         if !allowed {
             return false;
         }
-        let cold = (self.cold_bucket(s).0 + 1.0, self.now);
+        let spent = self.spent_with_one_more(s);
         let (attempt, sent, aim) = (h.sent, self.now, h.class.aim);
         let key = h.key;
         let slow_after = (aim as f64 * PATIENCE) as Micros;
         if let (Some(h), Some(s)) = (self.held.get_mut(&id), self.servers.get_mut(&server)) {
             (h.sent, h.out) = (h.sent + 1, h.out + 1);
             h.may_have_run.push((attempt, sent, server));
-            (s.in_flight, s.cold, s.back) = (s.in_flight + 1, cold, 0);
+            (s.in_flight, s.spent, s.back) = (s.in_flight + 1, spent, 0);
         }
         if call == Call::Cache {
             self.cache_out += 1;
@@ -836,7 +730,8 @@
             // Against one attempt of each of many balancers, more than a cold server bears at once: where
             // their parts are unequal, each waits for its first until its own part has come.
             if line.sharers != 0 && (line.started > s.line.started || line.sharers != s.line.sharers) {
-                s.cold = (1.0 + unit_hash(u64::from(self.settings.me), line.id, 4), self.now);
+                let attempts = unit_hash(u64::from(self.settings.me), line.id, 4);
+                s.spent = Spent { attempts, at: self.now };
             }
             // A new process starts with a clean record. One presumed cold stays so until the list knows.
             if line.started > s.line.started {
@@ -851,11 +746,6 @@
         self.weigh();
     }
 
-    fn weigh(&mut self) {
-        self.total = self.ready(false).map(|s| self.weight(s)).sum::<f64>().max(0.01);
-        self.caches = self.ready(false).map(|s| self.portion(s)).sum();
-    }
-
     /// A person takes a server out or puts it back: that holds whatever lists say. Put back, what is known of
     /// it from before is of another process.
     fn exclude(&mut self, server: ServerId, excluded: bool, out: &mut Vec<Action>) {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -25,7 +25,9 @@
 
 mod brain;
 pub mod interface;
+mod placement;
 pub mod settings;
+mod slow_start;
 mod state;
 
 pub use interface::*;
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,11 +1,13 @@
 //! What a balancer keeps in memory: plain types, the queue of wake-ups and the hash. No decisions.
 
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BTreeSet, BinaryHeap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap, VecDeque};
 
 use oorandom::Rand64;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
+use crate::placement::Candidate;
+
 use crate::interface::{
     Action, Class, Condition, Group, Key, Micros, RequestId, ServerId, ServerLine, Settings,
 };
@@ -39,8 +41,10 @@
     /// Signs of overload in the attempts of the last reviews.
     pub(crate) strain: Ratio,
     pub(crate) repeats: f64,
-    /// The keys last asked for, latest first.
-    pub(crate) recent: VecDeque<Key>,
+    /// When keys were last asked for here.
+    pub(crate) keys: KeyHistory,
+    /// Makes draws by a request's number differ between balancers.
+    pub(crate) salt: u64,
     pub(crate) cache_out: u32,
     /// When this life began; its place among those that begin with it, and its answers in time since.
     pub(crate) born: Micros,
@@ -49,8 +53,14 @@
     pub(crate) caches: f64,
     /// Time that a cache server takes to answer, of late, over all of them.
     pub(crate) pace: f64,
-    /// Weight of all cache servers that are ready.
+    /// Weight of all cache servers that are ready, and the most that it was.
     pub(crate) total: f64,
+    pub(crate) peak_weight: Peak,
+    /// The cache servers that may be sent something, by their ids, and the origin.
+    pub(crate) candidates: Vec<Candidate>,
+    pub(crate) origin: Option<ServerId>,
+    /// Whether a server was put back by hand that nothing has been sent to since.
+    pub(crate) any_put_back: bool,
     /// Time that a server takes for one request, without its queue.
     pub(crate) service: f64,
     pub(crate) crowded: bool,
@@ -117,8 +127,8 @@
     pub unreachable: bool,
     /// Until when it is set aside (0: it is not), and for how long that was.
     pub aside: (Micros, Micros),
-    /// Level and time of the bucket that holds bursts at a cold server.
-    pub cold: (f64, Micros),
+    /// What it was sent in slow start and is not earned back yet.
+    pub spent: Spent,
 }
 
 impl Server {
@@ -156,6 +166,9 @@
     pub class: Class,
     pub most: u32,
     pub key: Key,
+    /// Whether its key is asked for often here, and for how long it was not.
+    pub popular: bool,
+    pub unseen_for: Micros,
     pub write: bool,
     pub missed: bool,
     /// The tenant whose bucket paid for it.
@@ -275,6 +288,81 @@
     }
 }
 
+/// Attempts of a balancer at a server in slow start, earned back at its rate: a token bucket, counted upwards.
+#[derive(Default, Clone, Copy)]
+pub struct Spent {
+    pub attempts: f64,
+    pub at: Micros,
+}
+
+impl Spent {
+    /// What is left of them at a time and a rate a microsecond.
+    pub fn left(&self, now: Micros, rate: f64) -> f64 {
+        (self.attempts - rate * now.saturating_sub(self.at) as f64).max(0.0)
+    }
+}
+
+/// The most that a figure was, and when that was worked out last.
+#[derive(Default)]
+pub struct Peak {
+    pub value: f64,
+    pub at: Micros,
+}
+
+/// Requests of which the keys are remembered.
+const REMEMBERED: usize = 8_192;
+/// A key that was asked for before among so many requests here is popular.
+const POPULAR_WITHIN: u64 = 64;
+
+/// When keys were last asked for here, of the latest requests.
+#[derive(Default)]
+pub struct KeyHistory {
+    /// Keys in the order of their requests, and when these came.
+    asked: VecDeque<(Key, Micros)>,
+    /// For each key that is remembered, the number of its last request and when that came.
+    last: HashMap<Key, (u64, Micros)>,
+    /// Requests so far.
+    count: u64,
+    /// Since when all requests are remembered.
+    since: Micros,
+}
+
+/// What a request finds of its key.
+pub struct Recency {
+    /// It was asked for among the latest requests.
+    pub popular: bool,
+    /// It was not asked for since then; 0: as long as can be told.
+    pub unseen_since: Micros,
+}
+
+impl KeyHistory {
+    /// Takes a request for a key in; what was known of the key before it. A request may name no key: 0.
+    pub fn ask(&mut self, key: Key, now: Micros) -> Recency {
+        if key == 0 {
+            return Recency { popular: false, unseen_since: self.since };
+        }
+        self.count += 1;
+        let before = self.last.insert(key, (self.count, now));
+        self.asked.push_back((key, now));
+        if self.asked.len() > REMEMBERED {
+            self.forget_oldest();
+        }
+        match before {
+            Some((number, at)) => Recency { popular: self.count - number < POPULAR_WITHIN, unseen_since: at },
+            None => Recency { popular: false, unseen_since: self.since },
+        }
+    }
+
+    fn forget_oldest(&mut self) {
+        let Some((key, at)) = self.asked.pop_front() else { return };
+        self.since = at;
+        let oldest = self.count - self.asked.len() as u64;
+        if self.last.get(&key).is_some_and(|(number, _)| *number <= oldest) {
+            self.last.remove(&key);
+        }
+    }
+}
+
 /// A token bucket.
 #[derive(Default, Clone)]
 pub struct Bucket {
