Slow start no longer trusts the wall clock; lists of thousands are taken in linear time

Cause: the age of a server was the wall clock at the process's start less the list's since_ms. A clock an hour ahead held every cold server for warm; one that is behind counted the slow start anew with each list that named the server. Terms: wall clocks may be stepped. Change: a start that is told as news and does not lie within the last 5 s is taken to be now; in the list that a process begins with, a newest start long ago is taken for an error of the clock, but where most of the fleet started with it. The same process keeps its start. Servers that a whole list lacks are found with a set, not by a search of the list for each of them. Requests' trace and reason counts: a test on a real process.

--- a/crates/stonevane-core/src/lib.rs
+++ b/crates/stonevane-core/src/lib.rs
@@ -19,6 +19,7 @@
 mod request;
 mod scope;
 mod servers;
+mod start_times;
 mod timers;
 mod trace;
 
--- a/crates/stonevane-core/src/node.rs
+++ b/crates/stonevane-core/src/node.rs
@@ -5,7 +5,7 @@
 use std::net::SocketAddr;
 
 use bytes::Bytes;
-use foldhash::{HashMap, HashMapExt};
+use foldhash::{HashMap, HashMapExt, HashSet};
 use spardeal::settings::Deployment;
 use spardeal::{
     Action, Condition, Effect, Event, ListKind, Load, Micros, Outcome, Policy, Request, RequestId, ServerId,
@@ -27,6 +27,7 @@
 use crate::request::{Command, Final, Phase};
 use crate::scope::{Listed, Scope};
 use crate::servers::{Conn, Pool, Read, Speaks, State};
+use crate::start_times::{self, FirstList};
 use crate::timers::{Due, Timers};
 use crate::trace::{CloseReason, Trace};
 
@@ -98,6 +99,8 @@
 
 struct Server {
     name: Box<str>,
+    /// When its process started, as the list has it, which may not be this process's clock.
+    since_ms: u64,
     address: SocketAddr,
     /// Its entry in the list, in the module's form but for zone and kind, which are names here.
     line: ServerLine,
@@ -1557,6 +1560,7 @@
         // A node that was given no list at its start asks for the whole one, whatever its version.
         let none = kind == ListKind::Cached && listing.endpoints.is_empty();
         self.index = (!none).then_some(listing.index);
+        let first_list = self.servers.is_empty().then(|| self.read_first_list(&listing));
         let mut lines: Vec<ServerLine> = Vec::with_capacity(listing.endpoints.len());
         for entry in &listing.endpoints {
             let condition = match entry.status.as_str() {
@@ -1568,11 +1572,10 @@
             let id = xxh3_64(entry.name.as_bytes()) as ServerId;
             let address = entry.address.parse().ok().or_else(|| self.servers.get(&id).map(|s| s.address));
             let Some(address) = address else { continue };
-            // In the module's clock, which is Unix time here; 0 stays 0, and nothing starts in the future.
-            let started =
-                if entry.since_ms == 0 { 0 } else { entry.since_ms.saturating_mul(1_000).min(self.now) };
+            let known = self.servers.get(&id);
+            let started = self.started(known, entry.since_ms, first_list);
             // What is known of the same process from a newer list. A new process is not the one that was to leave.
-            let newer = self.servers.get(&id).filter(|s| old && started <= s.line.started);
+            let newer = known.filter(|s| old && entry.since_ms <= s.since_ms);
             let condition = match newer {
                 Some(server) if server.condition == Condition::Draining => Condition::Draining,
                 _ => condition,
@@ -1590,14 +1593,23 @@
             let heard = self.servers.get(&id).map_or(0, |server| server.heard);
             let before = self.servers.insert(
                 id,
-                Server { name: entry.name.as_str().into(), address, line, names, speaks, condition, heard },
+                Server {
+                    name: entry.name.as_str().into(),
+                    since_ms: entry.since_ms,
+                    address,
+                    line,
+                    names,
+                    speaks,
+                    condition,
+                    heard,
+                },
             );
             if condition != Condition::Ready || before.is_some_and(|before| before.address != address) {
                 self.close_idle(id);
             }
         }
         if kind != ListKind::Delta {
-            let listed: Vec<_> = lines.iter().map(|line| line.id).collect();
+            let listed: HashSet<_> = lines.iter().map(|line| line.id).collect();
             let mut gone: Vec<_> = self.servers.keys().filter(|id| !listed.contains(id)).copied().collect();
             gone.sort_unstable();
             gone.iter().for_each(|id| self.forget(*id));
@@ -1619,6 +1631,28 @@
         self.withdraw_unwanted();
     }
 
+    /// What the start times in the list that this process begins with say of its clock.
+    fn read_first_list(&self, listing: &Listing) -> FirstList {
+        let starts = listing.endpoints.iter().map(|entry| entry.since_ms).filter(|since| *since != 0);
+        let starts: Vec<_> = starts.map(|since| since.saturating_mul(1_000)).collect();
+        let warm_up = self.deployment.settings.warm_up;
+        FirstList::new(self.now, warm_up, listing.endpoints.len(), &starts)
+    }
+
+    /// When a server's process started, in the module's clock; 0: long ago. The same process keeps its start, however often it
+    /// is told of.
+    fn started(&self, known: Option<&Server>, since_ms: u64, first_list: Option<FirstList>) -> Micros {
+        if since_ms == 0 {
+            return 0;
+        }
+        let start = since_ms.saturating_mul(1_000);
+        match (known, first_list) {
+            (Some(known), _) if known.since_ms == since_ms => known.line.started,
+            (_, Some(first_list)) => first_list.start(self.now, start),
+            (_, None) => start_times::of_news(self.now, start),
+        }
+    }
+
     /// Tells the module of a list or of lines that changed: of these as they are, or of what the subset makes of the
     /// whole list held.
     fn tell_servers(&mut self, kind: ListKind, lines: Vec<ServerLine>) {
--- a/crates/stonevane-node/tests/node/service.rs
+++ b/crates/stonevane-node/tests/node/service.rs
@@ -429,3 +429,41 @@
         assert!(value.len() == LONG && value == *long);
     }
 }
+
+#[test]
+fn each_step_of_a_request_and_each_close_is_told_with_its_reason() {
+    let cache = cache(|words| match words[1].as_str() {
+        "bb" => Act::Say(miss()),
+        "cc" => Act::Close,
+        key => Act::Say(hit(key)),
+    });
+    let origin = origin(|_| Act::Say(http(200, "", "made")));
+    let (discovery, _say, _calls) = quiet();
+    let known = pair(cache.address, origin.address);
+    let node = Node::start_managed_with(discovery, &known, &folder(), "export SPARDEAL_TRACE=1;", |_| {});
+    let mut client = node.client();
+    assert_eq!(client.ask(&get("bb", "id-missed")).unwrap(), "made");
+    assert!(client.ask(&get("cc", "id-reset")).unwrap().starts_with('-'));
+    node.until_some("decisions.retry-after-miss");
+    node.until_some("decisions.retry-after-reset");
+    node.until_some("closes.lost");
+    let mut lines = Vec::new();
+    let mut next = |wanted: &str| {
+        while !lines.iter().any(|line: &String| line.contains(wanted)) {
+            let line = node.log.recv_timeout(LONG);
+            lines.push(line.unwrap_or_else(|_| panic!("no {wanted:?} in {lines:#?}")));
+        }
+    };
+    for wanted in [
+        "list: version 5 (Cached), 2 lines: 2 ready",
+        "request id-missed (1) attempt 0 to s-1",
+        "request id-missed (1) attempt 0 at s-1 ended: Miss",
+        "request id-missed (1) retry-after-miss",
+        "request id-missed (1) attempt 1 to o-1",
+        "request id-missed (1) answered: served",
+        "request id-reset (2) attempt 0 at s-1 ended: Reset",
+        "closed: lost",
+    ] {
+        next(wanted);
+    }
+}
