--- a/src/brain.rs
+++ b/src/brain.rs
@@ -5,6 +5,7 @@
 //! outstanding cap and a windowed tally; a call that finds the gate shut is postponed by a random delay.
 //! All else here is a departure for a failure that the code names.
 
+use crate::draws::unit_hash;
 use crate::interface::*;
 use crate::state::*;
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -24,6 +24,7 @@
 //! ```
 
 mod brain;
+pub mod draws;
 pub mod interface;
 mod placement;
 pub mod settings;
--- a/src/placement.rs
+++ b/src/placement.rs
@@ -5,6 +5,7 @@
 //! more closely, and the whole order is sorted only where none of those will do.
 
 use crate::brain::PRIOR;
+use crate::draws::{KeyDraws, unit_hash};
 use crate::interface::*;
 use crate::state::*;
 
@@ -65,23 +66,25 @@
 /// The order of all candidates for a key, worked out as far as it is asked for.
 struct Order<'a> {
     candidates: &'a [Candidate],
-    key: Key,
+    draws: KeyDraws,
     weighted: bool,
 }
 
-impl Order<'_> {
+impl<'a> Order<'a> {
+    fn new(key: Key, candidates: &'a [Candidate], weighted: bool) -> Order<'a> {
+        Order { candidates, draws: KeyDraws::new(key), weighted }
+    }
+
     /// Place of a server in the key's order (weighted rendezvous hashing): the same at every balancer, and little moves
     /// when a server comes or goes.
-    fn place(&self, candidate: &Candidate) -> Place {
-        let draw = unit_hash(self.key, candidate.id, 0);
+    fn place(&self, candidate: &Candidate, draw: f64) -> Place {
         // The same order without the logarithm where all weigh the same.
         let place = if self.weighted { -draw.ln() / candidate.weight } else { -draw };
         (place, candidate.id)
     }
 
     /// A bound on a server's place that costs no logarithm.
-    fn at_least(&self, candidate: &Candidate) -> f64 {
-        let draw = unit_hash(self.key, candidate.id, 0);
+    fn at_least(&self, candidate: &Candidate, draw: f64) -> f64 {
         if self.weighted { (1.0 - draw) / candidate.weight } else { -draw }
     }
 
@@ -89,8 +92,9 @@
     fn head(&self) -> Head {
         let mut head = Head::default();
         for candidate in self.candidates {
-            if self.at_least(candidate) <= head.last() {
-                head.insert(self.place(candidate));
+            let draw = self.draws.of(candidate.id);
+            if self.at_least(candidate, draw) <= head.last() {
+                head.insert(self.place(candidate, draw));
             }
         }
         head
@@ -98,7 +102,8 @@
 
     /// The servers behind the head.
     fn rest(&self) -> Vec<Place> {
-        let mut all: Vec<Place> = self.candidates.iter().map(|candidate| self.place(candidate)).collect();
+        let place = |candidate: &Candidate| self.place(candidate, self.draws.of(candidate.id));
+        let mut all: Vec<Place> = self.candidates.iter().map(place).collect();
         all.sort_unstable_by(|a, b| a.partial_cmp(b).unwrap_or(std::cmp::Ordering::Equal));
         all.split_off(HEAD.min(all.len()))
     }
@@ -110,7 +115,7 @@
         let held = &self.held[&id];
         let key = if held.key == 0 { id } else { held.key };
         let left = self.useful_until(held).saturating_sub(self.now) as f64;
-        let order = Order { candidates: &self.candidates, key, weighted: self.settings.weights_are_sizes };
+        let order = Order::new(key, &self.candidates, self.settings.weights_are_sizes);
         let mut best: Option<(Rank, ServerId)> = None;
         let settled = self.consider(id, held, key, order.head().places(), &mut best);
         if !settled && self.candidates.len() > HEAD {
--- a/src/slow_start.rs
+++ b/src/slow_start.rs
@@ -7,11 +7,14 @@
 //! here. A key that is popular among all balancers then gets no more than the rate of all of them, however seldom one of
 //! them sees it, and a key that nobody asks for often passes nearly always.
 
+use crate::draws::unit_hash;
 use crate::interface::*;
 use crate::state::*;
 
-/// A server in slow start gets this multiple of a warm server's equal part of the quotas, scaled by its warmth.
+/// A server in slow start gets this multiple of a warm server's equal part of the quotas, scaled by its warmth, and no
+/// more than this part of the multiple that it falls at: with a full bucket that leaves it a quarter of its budget.
 const RATE_MULTIPLE: f64 = 1.5;
+const PART_OF_FALL: f64 = 0.5;
 /// A balancer's bucket holds what its rate earns in this part of the window that a budget is counted in.
 const BUCKET_WINDOW: f64 = 0.5;
 /// Attempts that all balancers together may send on top of their rates: what chance is granted is more.
@@ -54,8 +57,8 @@
         if held.popular || !self.in_slow_start_share(s) {
             return false;
         }
-        let key_drawn = || unit_hash(key, s.line.id, 1) < self.warmth(s) * self.remaining_fleet();
-        first_since_put_back || key_drawn() && self.drawn_for_share(id, held, s)
+        first_since_put_back
+            || unit_hash(key, s.line.id, 1) < self.warmth(s) && self.drawn_for_share(id, held, s)
     }
 
     /// Whether this balancer's bucket has room for one more attempt at a server, where that is in slow start.
@@ -74,18 +77,20 @@
 
     /// Where the share is less than one attempt: whether this request draws one. What the rate has earned since the key
     /// was last asked for here is what one request for it is worth, so that requests for one key at all balancers draw
-    /// no more than the rate of all.
+    /// no more than the rate of all. As others leave, their keys come here too, and each draws the less.
     fn drawn_for_share(&self, id: RequestId, held: &Held, s: &Server) -> bool {
         let share = self.slow_start_share(s);
-        let earned = CREDIT_OF_ALL / f64::from(self.sharers(s).max(1)) + share.rate * held.unseen_for as f64;
-        share.depth >= 1.0 || unit_hash(id ^ self.salt, s.line.id, 5) < earned
+        let credit = CREDIT_OF_ALL / f64::from(self.sharers(s).max(1));
+        let earned = (credit + share.rate * held.unseen_for as f64).min(1.0);
+        share.depth >= 1.0 || unit_hash(id ^ self.salt, s.line.id, 5) < earned * self.remaining_fleet()
     }
 
     fn slow_start_share(&self, s: &Server) -> Share {
         let quota = self.share() * self.portion(s);
         // Against a rate that follows the load of the servers that are left: as others leave, one can do no more.
         let fleet = self.peak_weight.value.max(self.settings.cache_weight).max(0.01);
-        let rate = self.part * RATE_MULTIPLE * self.warmth(s) * quota * self.weight(s) / fleet / 1e6;
+        let multiple = RATE_MULTIPLE.min(PART_OF_FALL * self.settings.fall_multiple).max(0.0);
+        let rate = self.part * multiple * self.warmth(s) * quota * self.weight(s) / fleet / 1e6;
         let depth = rate * self.settings.fall_after as f64 * BUCKET_WINDOW;
         Share { rate, depth, spent: s.spent.left(self.now, rate) }
     }
--- a/src/state.rs
+++ b/src/state.rs
@@ -4,7 +4,6 @@
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap, VecDeque};
 
 use oorandom::Rand64;
-use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::placement::Candidate;
 
@@ -435,14 +434,6 @@
     }
 }
 
-/// A number between 0 and 1, fixed for a key, a server and a purpose.
-pub fn unit_hash(key: Key, server: ServerId, purpose: u64) -> f64 {
-    let mut bytes = [0u8; 12];
-    bytes[..8].copy_from_slice(&key.to_le_bytes());
-    bytes[8..].copy_from_slice(&server.to_le_bytes());
-    ((xxh3_64_with_seed(&bytes, purpose) >> 11) as f64 + 0.5) / (1u64 << 53) as f64
-}
-
 /// Random numbers that depend on the seed alone.
 pub struct Random(Rand64);
 
