A signal in a read or write ends no connection; a retry is explained only where it is made

A read or write that returned EINTR was taken for the end of its connection: a request read on it would have been lost. The reason of a retry is counted and traced when an attempt goes out, not when one is looked for.

--- a/crates/stonevane-node/src/driver.rs
+++ b/crates/stonevane-node/src/driver.rs
@@ -12,6 +12,7 @@
 
 use bytes::Bytes;
 use foldhash::{HashMap, HashMapExt};
+use rustix::io::retry_on_intr;
 use rustix::net::RecvFlags;
 use spardeal::Micros;
 use stonevane_core::beside::{Room, Stage};
@@ -102,7 +103,7 @@
 fn receive(stream: &TcpStream, buffer: &mut [u8]) -> std::io::Result<usize> {
     let mut short = 0;
     let read = stream.try_io(Interest::READABLE, || {
-        let (count, _) = rustix::net::recv(stream, &mut *buffer, RecvFlags::empty())?;
+        let (count, _) = retry_on_intr(|| rustix::net::recv(stream, &mut *buffer, RecvFlags::empty()))?;
         if count > 0 && count < buffer.len() {
             short = count;
             return Err(std::io::ErrorKind::WouldBlock.into());
@@ -121,6 +122,16 @@
     pin!(stream.ready(END)).poll(&mut told).is_ready()
 }
 
+/// Writes what the machine takes at once. A signal that comes meanwhile ends no connection.
+fn try_write(stream: &TcpStream, bytes: &[u8]) -> std::io::Result<usize> {
+    loop {
+        match stream.try_write(bytes) {
+            Err(e) if e.kind() == std::io::ErrorKind::Interrupted => {}
+            written => return written,
+        }
+    }
+}
+
 fn would_block<T>(result: &std::io::Result<T>) -> bool {
     matches!(result, Err(e) if e.kind() == std::io::ErrorKind::WouldBlock)
 }
@@ -485,7 +496,7 @@
         // Else with no look at the socket where the machine has told of nothing.
         let piece = &mut state.scratch[..4096];
         let read = match surely {
-            true => rustix::net::recv(&stream, &mut *piece, RecvFlags::DONTWAIT)
+            true => retry_on_intr(|| rustix::net::recv(&stream, &mut *piece, RecvFlags::DONTWAIT))
                 .map(|(count, _)| count)
                 .map_err(Into::into),
             false => receive(&stream, piece),
@@ -520,7 +531,7 @@
     /// client learns is closed as soon as it has the answer.
     fn write_last(self: &Arc<Self>, state: &mut State, id: ConnId, bytes: Bytes) {
         let stream = state.links.get(&id).and_then(|link| link.stream.clone());
-        match stream.map(|stream| stream.try_write(&bytes)) {
+        match stream.map(|stream| try_write(&stream, &bytes)) {
             Some(Ok(count)) if count == bytes.len() => {
                 self.linger(state, id);
                 self.tell(state, Input::Parted(id));
@@ -533,7 +544,7 @@
     fn write(self: &Arc<Self>, state: &mut State, id: ConnId, mut bytes: Bytes) {
         let Some(link) = state.links.get_mut(&id) else { return };
         let Some(stream) = link.stream.clone() else { return };
-        let written = stream.try_write(&bytes);
+        let written = try_write(&stream, &bytes);
         match written {
             Ok(count) if count == bytes.len() => return self.tell(state, Input::Flushed(id)),
             Ok(count) => drop(bytes.split_to(count)),
@@ -551,7 +562,7 @@
                 if !state.links.contains_key(&id) {
                     return;
                 }
-                match stream.try_write(&bytes) {
+                match try_write(&stream, &bytes) {
                     Ok(count) if count == bytes.len() => {
                         own.tell(&mut state, Input::Flushed(id));
                         return own.perform(&mut state);
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -3,6 +3,8 @@
 //! Ordinary path: a read goes to the first server in its key's order that is not over the load bound; after
 //! a miss the value is fetched from the origin, and a write goes straight there, through a gate of an
 //! outstanding cap and a windowed tally; a call that finds the gate shut is postponed by a random delay.
+//! Which server a read goes to stands in `placement.rs`, what one in slow start may be sent in
+//! `slow_start.rs`.
 //! All else here is a departure for a failure that the code names.
 
 use crate::draws::unit_hash;
@@ -491,8 +493,12 @@
             }
             self.repeats -= cost;
         }
-        out.push(Action::Explain { request: o.request, reason: Reason::Retry(o.status) });
+        let sent = |policy: &Policy| policy.held.get(&o.request).map_or(0, |h| h.sent);
+        let before = sent(self);
         self.step(o.request, out);
+        if sent(self) > before {
+            out.push(Action::Explain { request: o.request, reason: Reason::Retry(o.status) });
+        }
     }
 
     /// What an outcome tells of its server and of the strain on the fleet, or of the origin.
--- a/src/placement.rs
+++ b/src/placement.rs
@@ -1,8 +1,8 @@
-//! Placement: which server a read goes to. Each key has a consistent order of the servers, the same at every balancer
-//! (rendezvous hashing), with a bound on the load of each.
+//! Placement: which server a read goes to. Each key has a consistent order of the servers, the same at every
+//! balancer (rendezvous hashing), with a bound on the load of each.
 //!
-//! The draws of thousands of servers are made in one pass over a dense table; only the few that come first are looked at
-//! more closely, and the whole order is sorted only where none of those will do.
+//! The draws of thousands of servers are made in one pass over a dense table; only the few that come first
+//! are looked at more closely, and the whole order is sorted only where none of those will do.
 
 use crate::brain::PRIOR;
 use crate::draws::{KeyDraws, unit_hash};
@@ -75,8 +75,8 @@
         Order { candidates, draws: KeyDraws::new(key), weighted }
     }
 
-    /// Place of a server in the key's order (weighted rendezvous hashing): the same at every balancer, and little moves
-    /// when a server comes or goes.
+    /// Place of a server in the key's order (weighted rendezvous hashing): the same at every balancer, and
+    /// little moves when a server comes or goes.
     fn place(&self, candidate: &Candidate, draw: f64) -> Place {
         // The same order without the logarithm where all weigh the same.
         let place = if self.weighted { -draw.ln() / candidate.weight } else { -draw };
@@ -127,7 +127,8 @@
         best.map(|(_, server)| server).filter(|server| !full(&self.servers[server]))
     }
 
-    /// Goes through a part of an order and keeps the first of the best rank; whether no later one can be better.
+    /// Goes through a part of an order and keeps the first of the best rank; whether no later one can be
+    /// better.
     fn consider(
         &self,
         id: RequestId,
@@ -140,7 +141,8 @@
         let bound = self.load_bound();
         for &(_, server) in order {
             let Some(s) = self.servers.get(&server) else { continue };
-            // Against a server put back that no key of its own comes by for long: nothing could be learned of it.
+            // Against a server put back that no key of its own comes by for long: nothing could be learned of
+            // it.
             let due = s.back != 0 && self.now >= s.back + BACK;
             if held.tried.contains(&server) || !self.slow_start_allows(id, held, key, s, due) {
                 continue;
--- a/src/slow_start.rs
+++ b/src/slow_start.rs
@@ -1,18 +1,21 @@
-//! Slow start: a server that has just started bears a part of its capacity, and all balancers together must not send it
-//! more. They share nothing, so that each keeps to its own share of the one budget, however many there are.
+//! Slow start: a server that has just started bears a part of its capacity, and all balancers together must
+//! not send it more. They share nothing, so that each keeps to its own share of the one budget, however many
+//! there are.
 //!
-//! Two things make up the share. A token bucket holds this balancer to its rate. Where that rate earns less than one
-//! attempt in a window, a bucket alone would let every balancer send one all the same, and the sum would be the number of
-//! balancers: there an attempt passes by chance, as likely as the rate has earned one since its key was last asked for
-//! here. A key that is popular among all balancers then gets no more than the rate of all of them, however seldom one of
-//! them sees it, and a key that nobody asks for often passes nearly always.
+//! Two things make up the share. A token bucket holds this balancer to its rate. Where that rate earns less
+//! than one attempt in a window, a bucket alone would let every balancer send one all the same, and the sum
+//! would be the number of balancers: there an attempt passes by chance, as likely as the rate has earned one
+//! since its key was last asked for here. A key that is popular among all balancers then gets no more than
+//! the rate of all of them, however seldom one of them sees it, and a key that nobody asks for often passes
+//! nearly always.
 
 use crate::draws::unit_hash;
 use crate::interface::*;
 use crate::state::*;
 
-/// A server in slow start gets this multiple of a warm server's equal part of the quotas, scaled by its warmth, and no
-/// more than this part of the multiple that it falls at: with a full bucket that leaves it a quarter of its budget.
+/// A server in slow start gets this multiple of a warm server's equal part of the quotas, scaled by its
+/// warmth, and no more than this part of the multiple that it falls at: with a full bucket that leaves it a
+/// quarter of its budget.
 const RATE_MULTIPLE: f64 = 1.5;
 const PART_OF_FALL: f64 = 0.5;
 /// A balancer's bucket holds what its rate earns in this part of the window that a budget is counted in.
@@ -26,7 +29,8 @@
 struct Share {
     /// Attempts a microsecond.
     rate: f64,
-    /// Attempts that the bucket holds; below 1 the rate earns less than one attempt in its part of the window.
+    /// Attempts that the bucket holds; below 1 the rate earns less than one attempt in its part of the
+    /// window.
     depth: f64,
     /// Attempts that are not earned back yet.
     spent: f64,
@@ -40,9 +44,10 @@
         if s.line.started == 0 { 1.0 } else { (share + (1.0 - share) * age).min(1.0) }
     }
 
-    /// Whether a read may go to a server as warm as it is. In slow start it gets a part of its keys that grows as it
-    /// warms, the same keys from every balancer, none that is popular here, and from each balancer no more than its
-    /// share. `first_since_put_back`: a person has put it back at this balancer, and one read goes there whatever its key.
+    /// Whether a read may go to a server as warm as it is. In slow start it gets a part of its keys that
+    /// grows as it warms, the same keys from every balancer, none that is popular here, and from each
+    /// balancer no more than its share. `first_since_put_back`: a person has put it back at this balancer,
+    /// and one read goes there whatever its key.
     pub(crate) fn slow_start_allows(
         &self,
         id: RequestId,
@@ -75,9 +80,10 @@
         Spent { attempts: self.slow_start_share(s).spent + 1.0, at: self.now }
     }
 
-    /// Where the share is less than one attempt: whether this request draws one. What the rate has earned since the key
-    /// was last asked for here is what one request for it is worth, so that requests for one key at all balancers draw
-    /// no more than the rate of all. As others leave, their keys come here too, and each draws the less.
+    /// Where the share is less than one attempt: whether this request draws one. What the rate has earned
+    /// since the key was last asked for here is what one request for it is worth, so that requests for one
+    /// key at all balancers draw no more than the rate of all. As others leave, their keys come here too, and
+    /// each draws the less.
     fn drawn_for_share(&self, id: RequestId, held: &Held, s: &Server) -> bool {
         let share = self.slow_start_share(s);
         let credit = CREDIT_OF_ALL / f64::from(self.sharers(s).max(1));
@@ -87,7 +93,8 @@
 
     fn slow_start_share(&self, s: &Server) -> Share {
         let quota = self.share() * self.portion(s);
-        // Against a rate that follows the load of the servers that are left: as others leave, one can do no more.
+        // Against a rate that follows the load of the servers that are left: as others leave, one can do no
+        // more.
         let fleet = self.peak_weight.value.max(self.settings.cache_weight).max(0.01);
         let multiple = RATE_MULTIPLE.min(PART_OF_FALL * self.settings.fall_multiple).max(0.0);
         let rate = self.part * multiple * self.warmth(s) * quota * self.weight(s) / fleet / 1e6;
@@ -95,8 +102,8 @@
         Share { rate, depth, spent: s.spent.left(self.now, rate) }
     }
 
-    /// The weight of the servers that are ready, as a part of the most that were: keys of servers that have left come to
-    /// the others, and one in slow start takes no more for that.
+    /// The weight of the servers that are ready, as a part of the most that were: keys of servers that have
+    /// left come to the others, and one in slow start takes no more for that.
     fn remaining_fleet(&self) -> f64 {
         (self.total / self.peak_weight.value.max(0.01)).min(1.0)
     }
