--- a/src/slow_start.rs
+++ b/src/slow_start.rs
@@ -18,6 +18,9 @@
 /// quarter of its budget.
 const RATE_MULTIPLE: f64 = 1.5;
 const PART_OF_FALL: f64 = 0.5;
+/// Requests for one key, where chance decides, may draw this multiple of the rate: few servers have a key that
+/// draws so much, and keys that are asked for seldom pass the sooner.
+const KEY_MULTIPLE: f64 = 2.0;
 /// A balancer's bucket holds what its rate earns in this part of the window that a budget is counted in.
 const BUCKET_WINDOW: f64 = 0.5;
 /// Attempts that all balancers together may send on top of their rates: what chance is granted is more.
@@ -80,15 +83,15 @@
         Spent { attempts: self.slow_start_share(s).spent + 1.0, at: self.now }
     }
 
-    /// Where the share is less than one attempt: whether this request draws one. What the rate has earned
-    /// since the key was last asked for here is what one request for it is worth, so that requests for one
-    /// key at all balancers draw no more than the rate of all. As others leave, their keys come here too, and
-    /// each draws the less.
+    /// Where the share is less than one attempt: whether this request draws one. What the rate has earned since
+    /// the key was last asked for here is what one request for it is worth, so that requests for one key at all
+    /// balancers draw no more than a multiple of the rate of all. As others leave, their keys come here too,
+    /// and fewer of them draw one.
     fn drawn_for_share(&self, id: RequestId, held: &Held, s: &Server) -> bool {
         let share = self.slow_start_share(s);
         let credit = CREDIT_OF_ALL / f64::from(self.sharers(s).max(1));
-        let earned = (credit + share.rate * held.unseen_for as f64).min(1.0);
-        share.depth >= 1.0 || unit_hash(id ^ self.salt, s.line.id, 5) < earned * self.remaining_fleet()
+        let earned = credit + KEY_MULTIPLE * share.rate * held.unseen_for as f64;
+        share.depth >= 1.0 || unit_hash(id ^ self.salt, s.line.id, 5) < earned.min(self.remaining_fleet())
     }
 
     fn slow_start_share(&self, s: &Server) -> Share {
