--- a/src/slow_start.rs
+++ b/src/slow_start.rs
@@ -18,8 +18,8 @@
 /// quarter of its budget.
 const RATE_MULTIPLE: f64 = 1.5;
 const PART_OF_FALL: f64 = 0.5;
-/// Requests for one key, where chance decides, may draw this multiple of the rate: few servers have a key that
-/// draws so much, and keys that are asked for seldom pass the sooner.
+/// Requests for one key, where chance decides, may draw this multiple of the rate: few servers have a key
+/// that draws so much, and keys that are asked for seldom pass the sooner.
 const KEY_MULTIPLE: f64 = 2.0;
 /// A balancer's bucket holds what its rate earns in this part of the window that a budget is counted in.
 const BUCKET_WINDOW: f64 = 0.5;
@@ -83,10 +83,10 @@
         Spent { attempts: self.slow_start_share(s).spent + 1.0, at: self.now }
     }
 
-    /// Where the share is less than one attempt: whether this request draws one. What the rate has earned since
-    /// the key was last asked for here is what one request for it is worth, so that requests for one key at all
-    /// balancers draw no more than a multiple of the rate of all. As others leave, their keys come here too,
-    /// and fewer of them draw one.
+    /// Where the share is less than one attempt: whether this request draws one. What the rate has earned
+    /// since the key was last asked for here is what one request for it is worth, so that requests for one
+    /// key at all balancers draw no more than a multiple of the rate of all. As others leave, their keys come
+    /// here too, and fewer of them draw one.
     fn drawn_for_share(&self, id: RequestId, held: &Held, s: &Server) -> bool {
         let share = self.slow_start_share(s);
         let credit = CREDIT_OF_ALL / f64::from(self.sharers(s).max(1));
