Review case 3: a full table drops whole commands behind the first, unanswered

Cause: where only connections kept for refusals are left, the first command is refused and the input is discarded, with the whole commands that stand in it.

Change: the case with its test. The node is unchanged.

--- /dev/null
+++ b/review/3/run.sh
@@ -0,0 +1,6 @@
+#!/bin/sh
+# Plays the case: exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+here=$(cd "$(dirname "$0")" && pwd) || exit 2
+cd "$here/../.." || exit 2
+test -x target/review/review || { echo "could not run: review/build.sh has not been run"; exit 2; }
+exec target/review/review crowd "$here/record.txt"
