Review case 3 is now the standstill by spoilt answers; late-read entry added

Cause: a spoilt answer that does not end is decoded anew as a whole at each read, without a bound on what has come; one reader goes on for 128 reads before others have a turn. It is graver than the former case 3 (a full table drops whole commands), which stays in review/src as a further fault.

Change: claims and tests only. The node is unchanged.

--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -3,4 +3,4 @@
 here=$(cd "$(dirname "$0")" && pwd) || exit 2
 cd "$here/../.." || exit 2
 test -x target/review/review || { echo "could not run: review/build.sh has not been run"; exit 2; }
-exec target/review/review crowd "$here/record.txt"
+exec target/review/review standstill "$here/record.txt"
--- a/review/src/crowd.rs
+++ b/review/src/crowd.rs
@@ -1,4 +1,4 @@
-//! Case 3: a crowd fills the table of connections: of commands that a client sends together, the node answers the first
+//! A crowd fills the table of connections: of commands that a client sends together, the node answers the first
 //! and drops the others.
 
 use std::net::SocketAddr;
--- a/review/src/main.rs
+++ b/review/src/main.rs
@@ -4,6 +4,7 @@
 mod crash;
 mod crowd;
 mod foreign;
+mod late_read;
 mod long_values;
 mod platform;
 mod stale;
@@ -47,6 +48,7 @@
         "crash" => crash::play(record),
         "crowd" => crowd::play(record),
         "foreign" => foreign::play(record),
+        "late-read" => late_read::play(record),
         "long-values" => long_values::play(record),
         "stale" => stale::play(record),
         "standstill" => standstill::play(record),
--- a/review/src/standstill.rs
+++ b/review/src/standstill.rs
@@ -1,4 +1,4 @@
-//! Spoilt answers that never end hold the whole node up, and other clients' requests are lost.
+//! Case 3: spoilt answers that never end hold the whole node up, and requests of other clients are lost.
 
 use std::io::Write;
 use std::sync::atomic::{AtomicUsize, Ordering};
