Commands: one limit for the whole command, and no read beyond its reservation

Cause: a long command has 128 KiB of the budget, the decoder limited each argument and their number, and a session with that reservation read on without a bound. 1 MiB was held against 128 KiB.

Change: the codec limits the whole command to 64 KiB and 4 KiB for all but the value, and rejects it at the length line that exceeds the limit. A session reads at most up to 4 KiB held without a reservation and up to the limit with one, for which it reserves twice the limit (136 KiB, before 128). Input after a half-close is discarded into the shared buffer; before, each such connection held 16 KiB. The scanner, commands and replies of the codec are modules of their own.

--- a/crates/stonevane-codec/src/resp/tests.rs
+++ b/crates/stonevane-codec/src/resp/tests.rs
@@ -35,6 +35,44 @@
     }
 }
 
+/// Guards against commands whose arguments are short enough each and too long together (`review/2`).
+#[test]
+fn a_command_is_rejected_at_the_stated_length_that_exceeds_the_limit() {
+    let argument = [&b"$65536\r\n"[..], &vec![b'x'; MAX_ARG_BYTES], b"\r\n"].concat();
+    let mut input = BytesMut::from(&[&b"*3\r\n"[..], &argument].concat()[..]);
+    assert_eq!(take_command(&mut input), Ok(None));
+    input.extend_from_slice(b"$4096\r\n");
+    assert!(take_command(&mut input).is_err());
+    // The longest command that is accepted, whatever its arguments.
+    for lengths in [vec![65_536, 4_069], vec![34_801, 34_801], vec![4_602; 15]] {
+        let args: Vec<Vec<u8>> = lengths.iter().map(|length| vec![b'x'; *length]).collect();
+        let args: Vec<&[u8]> = args.iter().map(Vec::as_slice).collect();
+        let encoded = encode_command(&args);
+        let spare = MAX_COMMAND_BYTES - encoded.len();
+        let longer: Vec<u8> = vec![b'x'; args[args.len() - 1].len() + spare];
+        let longest = |last: &'_ [u8]| encode_command(&[&args[..args.len() - 1], &[last]].concat());
+        let mut input = BytesMut::from(&longest(&longer)[..]);
+        assert_eq!(input.len(), MAX_COMMAND_BYTES);
+        assert!(take_command(&mut input).unwrap().is_some() && input.is_empty());
+        let mut input = BytesMut::from(&longest(&[&longer[..], b"x"].concat())[..]);
+        assert!(take_command(&mut input).is_err(), "{lengths:?}");
+    }
+}
+
+/// Guards against work for each received byte that grows with the bytes before it.
+#[test]
+fn a_command_costs_a_bounded_number_of_examined_bytes_whatever_has_arrived() {
+    let argument = [&b"$4000\r\n"[..], &[b'x'; 4_000], b"\r\n"].concat();
+    let command = [&b"*16\r\n"[..], &argument.repeat(16)].concat();
+    for length in 0..=command.len() {
+        let mut scanner = scanner::Scanner::new(&command[..length]);
+        let mut args = [scanner::Span::default(); MAX_ARRAY_ITEMS];
+        let found = command::scan_command(&mut scanner, &mut args);
+        assert_eq!(found, Ok((length == command.len()).then_some(MAX_ARRAY_ITEMS)));
+        assert!(scanner.examined <= 17 * 32, "{} bytes for {length}", scanner.examined);
+    }
+}
+
 #[test]
 fn replies_are_decoded_and_deep_nesting_is_rejected() {
     let mut replies = BytesMut::from("*3\r\n$2\r\nab\r\n$-1\r\n$3\r\nhit\r\n-BUSY\r\n:7\r\n");
--- a/crates/stonevane-core/src/clients/session.rs
+++ b/crates/stonevane-core/src/clients/session.rs
@@ -3,7 +3,7 @@
 use std::collections::VecDeque;
 
 use bytes::{Bytes, BytesMut};
-use stonevane_codec::resp::{self, Malformed};
+use stonevane_codec::resp::{self, MAX_COMMAND_BYTES, Malformed};
 use stonevane_policy::Micros;
 
 use super::ClientTimeouts;
@@ -19,10 +19,9 @@
 const MAX_PIPELINE_LIMIT: usize = 64;
 /// Divisor of the memory budget: all pending answers of one connection together take at most the quotient.
 const PIPELINE_MEMORY_DIVISOR: usize = 16;
-/// Chunk size of reads, in bytes. A longer command waits for memory.
+/// Maximum number of received bytes that a connection holds without a memory reservation. A longer command
+/// waits for memory.
 pub const READ_CHUNK_BYTES: usize = 4096;
-/// Chunk size of reads of a long command that has its memory, in bytes.
-const LONG_READ_CHUNK_BYTES: usize = 64 * 1024;
 /// Size up to which ready answers are joined into one write, in bytes.
 const MAX_COALESCED_WRITE_BYTES: usize = 64 * 1024;
 
@@ -155,15 +154,11 @@
     /// Returns how many bytes may be read now.
     pub fn read_budget(&self, memory: usize) -> usize {
         if !self.accepts_request(memory) {
-            0
-        } else if self.command_memory.is_some() {
-            LONG_READ_CHUNK_BYTES
-        } else if self.input.len() >= READ_CHUNK_BYTES {
-            // A long command that waits for memory stays in the socket and the client's buffers.
-            0
-        } else {
-            READ_CHUNK_BYTES
+            return 0;
         }
+        // The rest of a long command that waits for memory stays in the socket and the client's buffers.
+        let max_buffered = if self.command_memory.is_some() { MAX_COMMAND_BYTES } else { READ_CHUNK_BYTES };
+        max_buffered.saturating_sub(self.input.len())
     }
 
     /// Returns whether the session needs memory for a long command and is not queued for it yet. After `true`
@@ -194,6 +189,11 @@
         self.input.extend_from_slice(bytes);
     }
 
+    /// Number of received bytes that are not decoded yet.
+    pub fn buffered_bytes(&self) -> usize {
+        self.input.len()
+    }
+
     /// Takes the next complete command if another request is accepted.
     pub fn next_command(
         &mut self,
--- a/crates/stonevane-core/src/node/client_io.rs
+++ b/crates/stonevane-core/src/node/client_io.rs
@@ -1,6 +1,6 @@
 //! Events on client connections: input, writes, time limits, disconnects.
 
-use stonevane_codec::resp::{MAX_ARG_BYTES, Malformed};
+use stonevane_codec::resp::{MAX_COMMAND_BYTES, Malformed};
 
 use super::Core;
 use super::drain::Phase;
@@ -11,8 +11,9 @@
 use crate::reply::ConnId;
 use crate::trace::CloseReason;
 
-/// Memory reserved for a long command, in bytes: the received bytes and the value that is copied out of them.
-const LONG_COMMAND_MEMORY: usize = 2 * MAX_ARG_BYTES;
+/// Memory reserved for a long command, in bytes: the received bytes and the arguments that are copied out of
+/// them. The session reads no more of it than [`MAX_COMMAND_BYTES`].
+const LONG_COMMAND_MEMORY: usize = 2 * MAX_COMMAND_BYTES;
 
 impl<F: Faults> Core<F> {
     pub(super) fn on_accepted(&mut self, id: ConnId) {
--- a/crates/stonevane-core/src/node/connections.rs
+++ b/crates/stonevane-core/src/node/connections.rs
@@ -7,7 +7,7 @@
 
 use super::Core;
 use super::config::CoreConfig;
-use crate::clients::{ClientTable, ClientTimeouts};
+use crate::clients::{ClientTable, ClientTimeouts, Session};
 use crate::faults::{Faults, Mutant};
 use crate::handover::Capacity;
 use crate::io::Output;
@@ -134,6 +134,12 @@
         self.clients.len() + self.pool.len()
     }
 
+    /// Received bytes that are buffered until they are decoded.
+    pub fn buffered_bytes(&self) -> usize {
+        let clients: usize = self.clients.sessions.values().map(Session::buffered_bytes).sum();
+        clients + self.pool.buffered_bytes()
+    }
+
     pub fn contains(&self, id: ConnId) -> bool {
         self.pool.get(id).is_some() || self.clients.sessions.contains_key(&id)
     }
--- a/crates/stonevane-core/src/node/reports.rs
+++ b/crates/stonevane-core/src/node/reports.rs
@@ -56,6 +56,8 @@
     pub pending_client_ids: usize,
     /// Reserved memory, in bytes.
     pub memory: usize,
+    /// Received bytes that are buffered on connections until they are decoded.
+    pub buffered: usize,
     /// Number of timers, including stale ones that are not pruned yet.
     pub timers: usize,
 }
@@ -73,6 +75,7 @@
             attempts: self.attempts.len(),
             pending_client_ids: connections.clients.pending_ids.len(),
             memory: connections.memory.reserved(),
+            buffered: connections.buffered_bytes(),
             timers: self.timers.len(),
         }
     }
--- a/crates/stonevane-core/src/servers/conn.rs
+++ b/crates/stonevane-core/src/servers/conn.rs
@@ -188,6 +188,11 @@
         }
     }
 
+    /// Number of received bytes of a reply that is not complete yet.
+    pub fn buffered_bytes(&self) -> usize {
+        self.buffer.len()
+    }
+
     /// Returns the received part of the value of an incomplete reply; used by a deliberate fault.
     pub fn partial_value(&self) -> Option<Bytes> {
         let start = self.buffer.iter().rposition(|byte| *byte == b'\n')? + 1;
--- a/crates/stonevane-core/src/servers/pool.rs
+++ b/crates/stonevane-core/src/servers/pool.rs
@@ -67,6 +67,11 @@
         self.keep_alive.get(&server).copied().unwrap_or_else(|| self.max_keep_alive(protocol))
     }
 
+    /// Received bytes of replies that are not complete yet.
+    pub fn buffered_bytes(&self) -> usize {
+        self.conns.values().map(ServerConn::buffered_bytes).sum()
+    }
+
     /// Adapts the keep-alive after a reply. If the first request on a connection is rejected, the server's
     /// connection table is probably full: the keep-alive is shortened at once, and grows in steps as first
     /// requests are answered.
--- a/crates/stonevane-node/src/driver/client_sockets.rs
+++ b/crates/stonevane-node/src/driver/client_sockets.rs
@@ -18,8 +18,6 @@
 const HALF_CLOSE_TIMEOUT: Duration = Duration::from_millis(200);
 /// Maximum number of bytes that are read from a half-closed connection.
 const HALF_CLOSE_MAX_BYTES: usize = 256 * 1024;
-/// Size of one read of discarded input.
-const DISCARD_BUFFER_BYTES: usize = 16 * 1024;
 
 impl Driver {
     /// Writes the last response to a client and closes the connection immediately after it, unless a further
@@ -61,26 +59,26 @@
         connection.reader.take().inspect(AbortHandle::abort);
         let driver = self.clone();
         let reader = async move {
-            let _ = timeout(HALF_CLOSE_TIMEOUT, discard_input(&stream)).await;
+            let _ = timeout(HALF_CLOSE_TIMEOUT, driver.discard_input(&stream)).await;
             driver.connection_ended(id);
         };
         connection.reader = Some(tokio::spawn(reader).abort_handle());
     }
-}
 
-/// Discards input after the last response: a close with unread input would reset the connection, and the
-/// reset could destroy the response before the client has read it.
-async fn discard_input(stream: &TcpStream) {
-    let mut buffer = vec![0u8; DISCARD_BUFFER_BYTES];
-    let mut remaining = HALF_CLOSE_MAX_BYTES;
-    while remaining > 0 {
-        if stream.readable().await.is_err() {
-            return;
-        }
-        match stream.try_read(&mut buffer) {
-            Ok(count) if count > 0 => remaining = remaining.saturating_sub(count),
-            read if would_block(&read) => {}
-            _ => return,
+    /// Discards input after the last response: a close with unread input would reset the connection, and the
+    /// reset could destroy the response before the client has read it. The input goes to the buffer that all
+    /// connections share, so that a half-closed connection holds no memory.
+    async fn discard_input(&self, stream: &TcpStream) {
+        let mut remaining = HALF_CLOSE_MAX_BYTES;
+        while remaining > 0 {
+            if stream.readable().await.is_err() {
+                return;
+            }
+            match stream.try_read(&mut self.lock().read_buffer) {
+                Ok(count) if count > 0 => remaining = remaining.saturating_sub(count),
+                read if would_block(&read) => {}
+                _ => return,
+            }
         }
     }
 }
