Replies: decoded once, held within their reservation, refused at the first deviating byte

Cause: a reply was decoded as a whole at every read, its complete elements copied each time, and the limit was one for each element. The origin had the same fault in three forms: heads and interim heads parsed anew at every read, chunked bodies decoded from their start at every read, and a body of unknown length, or behind an interim response, held against the 128 KiB of a short one.

Change: one incremental decoder for a connection. A cache's reply is an error line or an array of three strings, of which the second and third have at most 2,000 bytes; anything else is refused at once, and its connection closed. The origin's heads leave the buffer as they arrive, are searched once and parsed at doubling lengths; chunks are moved once; the body of a failure is discarded. A connection reads no more than its reservation holds. A chunked value grows its reservation by doubling, up to three quarters of the budget; without that memory its request fails at once, since replies that wait for each other would hold what they have. Values behind interim responses are streamed.

--- a/crates/stonevane-codec/src/http.rs
+++ b/crates/stonevane-codec/src/http.rs
@@ -1,16 +1,21 @@
 //! HTTP/1.1 (RFC 9112): decoders of request heads, response heads and chunked bodies.
 
-use bytes::{Buf, BytesMut};
+mod chunked;
+mod head_decoder;
+#[cfg(test)]
+mod tests;
+
+pub use chunked::ChunkedDecoder;
+pub use head_decoder::HeadDecoder;
 
 /// Error of invalid input, after which the connection is unusable.
 #[derive(Debug, PartialEq, Clone, Copy)]
 pub struct Malformed;
 
-/// Maximum length of a head, and of a chunk-size line, in bytes.
+/// Maximum length of a head, in bytes.
 const MAX_HEAD_BYTES: usize = 16 * 1024;
 /// Maximum number of headers in a head.
 const MAX_HEADERS: usize = 48;
-const CRLF: &[u8] = b"\r\n";
 
 /// The head of a response.
 #[derive(Debug, Default, PartialEq)]
@@ -33,7 +38,8 @@
     pub lookup: Option<String>,
 }
 
-/// Parses the response head at the front of a buffer. Returns `None` while it is incomplete.
+/// Parses the response head at the front of a buffer. Returns `None` while it is incomplete. Each call parses
+/// the buffer from its front; [`HeadDecoder`] is for a head that arrives in pieces.
 ///
 /// # Errors
 /// [`Malformed`] if the input is not a response head, if the head is too long, or if it states the length of
@@ -137,75 +143,3 @@
     }
     Ok(Some(head))
 }
-
-/// Incremental decoder of a chunked body.
-#[derive(Default)]
-pub struct ChunkedDecoder {
-    /// Bytes of the current chunk that have not been received.
-    remaining: usize,
-    /// Whether the line end after a chunk's content is the next input.
-    awaits_line_end: bool,
-    ended: bool,
-}
-
-impl ChunkedDecoder {
-    /// Moves the received content of the body from `from` to `to`. Returns `true` at the end of the body.
-    ///
-    /// # Errors
-    /// [`Malformed`] if the input is not a chunked body.
-    pub fn take(&mut self, from: &mut BytesMut, to: &mut BytesMut) -> Result<bool, Malformed> {
-        while !self.ended {
-            if !self.take_content(from, to) || !self.take_line_end(from)? || !self.take_size(from)? {
-                return Ok(false);
-            }
-        }
-        Ok(true)
-    }
-
-    /// Moves the received content of the current chunk. Returns whether the chunk is complete.
-    fn take_content(&mut self, from: &mut BytesMut, to: &mut BytesMut) -> bool {
-        if self.remaining == 0 {
-            return true;
-        }
-        let length = self.remaining.min(from.len());
-        to.extend_from_slice(&from[..length]);
-        from.advance(length);
-        self.remaining -= length;
-        self.awaits_line_end = self.remaining == 0;
-        self.awaits_line_end
-    }
-
-    /// Consumes the line end after a chunk's content. Returns `false` while it is incomplete.
-    fn take_line_end(&mut self, from: &mut BytesMut) -> Result<bool, Malformed> {
-        if !self.awaits_line_end {
-            return Ok(true);
-        }
-        if from.len() < CRLF.len() {
-            return Ok(false);
-        }
-        if !from.starts_with(CRLF) {
-            return Err(Malformed);
-        }
-        from.advance(CRLF.len());
-        self.awaits_line_end = false;
-        Ok(true)
-    }
-
-    /// Consumes the size line of the next chunk. Returns `false` while it is incomplete.
-    fn take_size(&mut self, from: &mut BytesMut) -> Result<bool, Malformed> {
-        match httparse::parse_chunk_size(from) {
-            Ok(httparse::Status::Complete((length, size))) => {
-                from.advance(length);
-                self.remaining = usize::try_from(size).map_err(|_| Malformed)?;
-                // Trailers are not read, so the connection cannot be reused after the last chunk.
-                self.ended = size == 0;
-                Ok(true)
-            }
-            Ok(httparse::Status::Partial) if from.len() <= MAX_HEAD_BYTES => Ok(false),
-            _ => Err(Malformed),
-        }
-    }
-}
-
-#[cfg(test)]
-mod tests;
--- a/crates/stonevane-codec/src/resp.rs
+++ b/crates/stonevane-codec/src/resp.rs
@@ -2,12 +2,13 @@
 //!
 //! Other RESP decoders recurse without a limit and reserve as much memory as a length states. These decoders
 //! limit the nesting depth and never reserve a stated length, so input of a peer can neither overflow the
-//! stack nor exhaust memory.
+//! stack nor exhaust memory. The decoders that a node uses limit the length of a whole message too, and the
+//! work for each received byte is bounded.
 
 mod command;
 mod reply;
 mod scanner;
-mod served;
+mod server_reply;
 #[cfg(test)]
 mod tests;
 
@@ -17,7 +18,9 @@
 
 pub use command::{MAX_COMMAND_BYTES, take_command};
 pub use reply::{Reply, take_reply};
-pub use served::{ValuePosition, served_reply_rest_length, served_value_position, value_length};
+pub use server_reply::{
+    ServerReply, ServerReplyDecoder, ServerReplyProgress, ValuePosition, served_reply_rest_length,
+};
 
 /// Maximum length of a value or other argument of a command, in bytes.
 pub const MAX_ARG_BYTES: usize = 64 * 1024;
--- a/crates/stonevane-codec/src/resp/scanner.rs
+++ b/crates/stonevane-codec/src/resp/scanner.rs
@@ -68,6 +68,11 @@
         self.bytes.get(self.position).copied()
     }
 
+    /// Number of bytes that are not consumed.
+    pub fn remaining(&self) -> usize {
+        self.bytes.len().saturating_sub(self.position)
+    }
+
     /// Scans a line of at most `max_bytes`, whose first `searched` bytes are known to hold no line end.
     /// Returns the line without its end.
     pub fn line(&mut self, max_bytes: usize, searched: usize) -> Result<Option<&'a [u8]>, Malformed> {
--- a/crates/stonevane-codec/src/resp/tests.rs
+++ b/crates/stonevane-codec/src/resp/tests.rs
@@ -84,3 +84,55 @@
     assert_eq!(take_reply(&mut replies, MAX_ARG_BYTES), Ok(None));
     assert!(take_reply(&mut BytesMut::from(&b"*1\r\n".repeat(9000)[..]), MAX_ARG_BYTES).is_err());
 }
+
+/// Decodes a reply byte by byte. Returns the number of bytes received until it is complete, has a long value or
+/// is malformed, and the number of bytes examined.
+fn decode_byte_by_byte(reply: &[u8]) -> (usize, usize, Result<bool, Malformed>) {
+    let (mut decoder, mut examined) = (ServerReplyDecoder::default(), 0);
+    for length in 1..=reply.len() {
+        let mut scanner = scanner::Scanner::new(&reply[..length]);
+        let progress = decoder.scan(&mut scanner);
+        examined += scanner.examined;
+        match progress {
+            Ok(ServerReplyProgress::Incomplete) => {}
+            Ok(_) => return (length, examined, Ok(true)),
+            Err(error) => return (length, examined, Err(error)),
+        }
+    }
+    (reply.len(), examined, Ok(false))
+}
+
+/// Guards against replies that are decoded as a whole at each read and never end (`review/3`).
+#[test]
+fn a_reply_of_another_form_is_rejected_at_its_first_deviating_byte() {
+    for (reply, length) in [
+        (&b"*16\r\n*16\r\n*16\r\n$1048576\r\n"[..], 5),
+        (b"*3\r\n*3\r\n", 5),
+        (b"*3\r\n$1\r\nx\r\n*1\r\n", 12),
+        (b"*3\r\n$1\r\nx\r\n$2001\r\n", 18),
+        (b"*2\r\n$1\r\n", 4),
+        (b"*-1\r\n", 5),
+        (b"+OK\r\n", 1),
+        (b"noise", 1),
+        (b"*3\r\n$1\r\nxyz", 12),
+    ] {
+        let (received, _, decoded) = decode_byte_by_byte(reply);
+        assert!(decoded.is_err() && received <= length, "{}: {received}", String::from_utf8_lossy(reply));
+    }
+}
+
+#[test]
+fn a_reply_costs_a_bounded_number_of_examined_bytes_for_each_byte() {
+    let value = [&b"*3\r\n$65536\r\n"[..], &vec![b'x'; MAX_ARG_BYTES], b"\r\n$3\r\nhit\r\n$-1\r\n"].concat();
+    let error = [&b"-ERR "[..], &[b'x'; MAX_LINE_BYTES - 5], b"\r\n"].concat();
+    for reply in [value, error] {
+        let (received, examined, decoded) = decode_byte_by_byte(&reply);
+        assert_eq!((received, decoded), (reply.len(), Ok(true)));
+        assert!(examined <= 64 * reply.len(), "{examined} for {received}");
+    }
+    let (received, examined, decoded) = decode_byte_by_byte(&[b'-'; 3 * MAX_LINE_BYTES]);
+    assert!(decoded.is_err() && received <= MAX_LINE_BYTES + 2, "{received}");
+    assert!(examined <= 4 * received, "{examined}");
+    let (received, _, decoded) = decode_byte_by_byte(b"*3\r\n$65537\r\n");
+    assert_eq!((received, decoded), (12, Ok(true)), "a long value is reported before it arrives");
+}
--- a/crates/stonevane-core/src/memory.rs
+++ b/crates/stonevane-core/src/memory.rs
@@ -15,6 +15,8 @@
 const OVERHEAD_FACTOR: usize = 2;
 /// Reservations are counted in units of this size.
 const UNIT_BYTES: usize = 1024;
+/// Divisor of the budget: the quotient is not available to reservations that grow.
+const GROWTH_RESERVE_DIVISOR: u32 = 4;
 /// Upper bound of the budget, in units, so that sums of reservations fit in 32 bits.
 const MAX_UNITS: usize = 1 << 28;
 
@@ -35,6 +37,13 @@
     reserved: Arc<AtomicU32>,
 }
 
+impl MemoryReservation {
+    /// Reserved memory, in bytes.
+    pub fn bytes(&self) -> usize {
+        self.units as usize * UNIT_BYTES
+    }
+}
+
 impl Drop for MemoryReservation {
     fn drop(&mut self) {
         self.reserved.fetch_sub(self.units, Ordering::Relaxed);
@@ -89,6 +98,20 @@
         self.reserve_units(self.units(bytes))
     }
 
+    /// Enlarges a reservation if the memory is free. A part of the budget is kept for other reservations, so that
+    /// replies of unknown length leave memory for requests. Returns whether the reservation was enlarged.
+    pub fn try_grow(&self, reservation: &mut MemoryReservation, bytes: usize) -> bool {
+        let units = self.units(bytes);
+        let reserved = self.reserved.load(Ordering::Relaxed);
+        let max_reserved = self.limit - self.limit / GROWTH_RESERVE_DIVISOR;
+        if units == 0 || reserved.saturating_add(units) > max_reserved {
+            return false;
+        }
+        self.reserved.store(reserved + units, Ordering::Relaxed);
+        reservation.units += units;
+        true
+    }
+
     /// Queues a connection that waits for this many bytes, which [`MemoryBudget::next_granted`] grants.
     pub fn enqueue(&mut self, conn: ConnId, bytes: usize) {
         self.waiting.push_back((conn, self.units(bytes)));
--- a/crates/stonevane-core/src/node/server_io.rs
+++ b/crates/stonevane-core/src/node/server_io.rs
@@ -9,7 +9,8 @@
 use crate::io::Output;
 use crate::memory::MemoryReservation;
 use crate::reply::{AttemptKey, ConnId, Reply};
-use crate::servers::{ConnState, DecodeOptions, Protocol, ReadOutcome, ServerConn};
+use crate::request::FinalAnswer;
+use crate::servers::{ConnState, DecodeOptions, MemoryDemand, Protocol, ReadOutcome, ServerConn};
 use crate::timers::TimerKind;
 use crate::trace::CloseReason;
 
@@ -123,12 +124,7 @@
             keeps_surplus,
         };
         match conn.on_bytes(self.now, bytes, &options) {
-            ReadOutcome::Incomplete => {
-                if let Some(bytes) = conn.must_queue_for_memory(max_value) {
-                    self.connections.memory.enqueue(id, bytes);
-                }
-                self.arm_connection(id);
-            }
+            ReadOutcome::Incomplete => self.on_incomplete_reply(id),
             ReadOutcome::Reply(reply) => self.on_reply(id, reply),
             ReadOutcome::Malformed => self.on_malformed_reply(id),
             ReadOutcome::Unsolicited => self.on_server_connection_lost(id),
@@ -137,11 +133,41 @@
         }
     }
 
+    /// Reserves the memory that the next bytes of an incomplete reply need.
+    fn on_incomplete_reply(&mut self, id: ConnId) {
+        let connections = &mut self.connections;
+        let Some(conn) = connections.pool.get_mut(id) else { return };
+        match conn.memory_demand(connections.max_reply_value) {
+            MemoryDemand::Satisfied => {}
+            MemoryDemand::Queue(bytes) => connections.memory.enqueue(id, bytes),
+            MemoryDemand::Grow(bytes) => {
+                let memory = &connections.memory;
+                let has_grown = conn.reservation_mut().is_some_and(|held| memory.try_grow(held, bytes));
+                if !has_grown {
+                    return self.on_reply_without_memory(id);
+                }
+            }
+        }
+        self.arm_connection(id);
+    }
+
+    /// Fails the request of a reply whose value does not fit into the memory that is free. The server has run
+    /// the request.
+    fn on_reply_without_memory(&mut self, id: ConnId) {
+        let key = self.connections.pool.get(id).and_then(|conn| conn.attempt);
+        self.close_server_connection(id, CloseReason::ReplyEndsConnection);
+        if let Some(key) = key {
+            self.record_server_response(key);
+            self.answer(key.request, FinalAnswer::Failed);
+            self.end_attempt(key, AttemptStatus::Served);
+            self.run_policy();
+        }
+    }
+
     pub(super) fn on_reply_memory_granted(&mut self, id: ConnId, reservation: MemoryReservation) {
         let deadline = self.now + self.connections.stall_timeout;
-        let max_value = self.connections.max_reply_value;
         let Some(conn) = self.connections.pool.get_mut(id) else { return };
-        conn.on_memory_granted(reservation, max_value, deadline);
+        conn.on_memory_granted(reservation, deadline);
         self.arm_connection(id);
         self.resume_server_connection(id);
         // The bytes received so far may be enough to begin a stream.
--- a/crates/stonevane-core/src/node/streaming.rs
+++ b/crates/stonevane-core/src/node/streaming.rs
@@ -62,9 +62,8 @@
         }
         self.end_attempt_with(key, Reply::of_status(AttemptStatus::Served, true));
         self.run_policy();
-        let max_value = self.connections.max_reply_value;
         if let Some(conn) = self.connections.pool.get_mut(id) {
-            let piece = conn.next_piece(max_value);
+            let piece = conn.next_piece();
             self.forward_piece(id, piece);
         }
     }
--- a/crates/stonevane-core/src/servers/cache.rs
+++ b/crates/stonevane-core/src/servers/cache.rs
@@ -1,9 +1,10 @@
 //! The RESP2 protocol of cache servers: encodes attempts and decodes their replies.
 
-use bytes::{Bytes, BytesMut};
-use stonevane_codec::resp;
+use bytes::{Buf, Bytes, BytesMut};
+use stonevane_codec::resp::{self, ServerReply, ServerReplyDecoder, ServerReplyProgress, ValuePosition};
 use stonevane_policy::{AttemptStatus, CacheStatus, LoadReport};
 
+use super::decoder::{LongValue, ReplyProgress};
 use crate::reply::{MalformedReply, Reply};
 use crate::request::Command;
 
@@ -18,41 +19,58 @@
     }
 }
 
-/// Removes a reply from the front of a buffer and decodes it; `None` while it is incomplete. Any deviation
-/// from the protocol makes the reply malformed, so that no corrupted value is forwarded.
-pub(super) fn decode(
-    buffer: &mut BytesMut,
-    load_names: &[String],
-    max_value: usize,
-) -> Result<Option<Reply>, MalformedReply> {
-    let Some(reply) = resp::take_reply(buffer, max_value).map_err(|_| MalformedReply)? else {
-        return Ok(None);
-    };
+/// Decoder of one reply of a cache server.
+#[derive(Debug, Default)]
+pub(super) struct ReplyDecoder {
+    decoder: ServerReplyDecoder,
+}
+
+impl ReplyDecoder {
+    /// Decodes the reply at the front of a buffer, and removes it once it is complete. Any deviation from the
+    /// protocol makes the reply malformed, so that no corrupted value is forwarded.
+    pub fn decode(
+        &mut self,
+        buffer: &mut BytesMut,
+        load_names: &[String],
+    ) -> Result<ReplyProgress, MalformedReply> {
+        match self.decoder.decode(buffer).map_err(|_| MalformedReply)? {
+            ServerReplyProgress::Incomplete => Ok(ReplyProgress::Incomplete),
+            ServerReplyProgress::LongValue(position) => {
+                let ValuePosition { start, length } = position;
+                buffer.advance(start);
+                Ok(ReplyProgress::LongValue(LongValue { length, reusable: true }))
+            }
+            ServerReplyProgress::Complete { reply, length } => {
+                let reply = decode_reply(reply, load_names)?;
+                buffer.advance(length);
+                Ok(ReplyProgress::Complete(reply))
+            }
+        }
+    }
+}
+
+fn decode_reply(reply: ServerReply<'_>, load_names: &[String]) -> Result<Reply, MalformedReply> {
     match reply {
-        resp::Reply::Array(items) => decode_served(items, load_names).map(Some),
-        resp::Reply::Error(line) => decode_error(&line, load_names).map(Some),
-        // Not a reply of the protocol: later bytes on the connection can't be matched to a request.
-        resp::Reply::Bulk(_) | resp::Reply::SimpleString(_) | resp::Reply::Integer(_) => Err(MalformedReply),
+        ServerReply::Error(line) => decode_error(line, load_names),
+        ServerReply::Served { value, lookup, load_report } => {
+            Ok(decode_served(value, lookup, load_report, load_names))
+        }
     }
 }
 
-/// Decodes an array of value, lookup result and load report. An invalid lookup result or load report is
-/// ignored, and the reply is still valid.
-fn decode_served(items: Vec<resp::Reply>, load_names: &[String]) -> Result<Reply, MalformedReply> {
-    let Ok([resp::Reply::Bulk(value), resp::Reply::Bulk(lookup), resp::Reply::Bulk(report)]) =
-        <[resp::Reply; 3]>::try_from(items)
-    else {
-        return Err(MalformedReply);
-    };
-    let lookup = text(lookup.as_ref());
-    Ok(Reply {
+/// Decodes value, lookup result and load report. An invalid lookup result or load report is ignored, and the
+/// reply is still valid.
+fn decode_served(value: Option<&[u8]>, lookup: &[u8], load_report: &[u8], load_names: &[String]) -> Reply {
+    let lookup = std::str::from_utf8(lookup).unwrap_or("");
+    let load_report = std::str::from_utf8(load_report).unwrap_or("");
+    Reply {
         status: if value.is_some() { AttemptStatus::Served } else { AttemptStatus::Miss },
         cache_status: parse_cache_status(lookup),
-        load: parse_load(text(report.as_ref()), load_names),
-        value,
+        load: parse_load(load_report, load_names),
+        value: value.map(Bytes::copy_from_slice),
         min_version: lookup.strip_prefix("miss:").and_then(|version| version.parse().ok()).unwrap_or(0),
         reusable: true,
-    })
+    }
 }
 
 fn decode_error(line: &[u8], load_names: &[String]) -> Result<Reply, MalformedReply> {
@@ -69,10 +87,6 @@
     Ok(Reply { load: parse_load(report, load_names), ..Reply::of_status(status, true) })
 }
 
-fn text(word: Option<&Bytes>) -> &str {
-    word.and_then(|word| std::str::from_utf8(word).ok()).unwrap_or("")
-}
-
 /// Parses the result of a read's lookup. Caches that are notified of writes append to a miss the newest
 /// version of the key that they have been notified of (`miss:41`).
 pub(super) fn parse_cache_status(word: &str) -> CacheStatus {
--- a/crates/stonevane-core/src/servers/conn.rs
+++ b/crates/stonevane-core/src/servers/conn.rs
@@ -7,16 +7,21 @@
 use stonevane_codec::resp::{self, MAX_ARG_BYTES};
 use stonevane_policy::{Micros, ServerId};
 
+use super::decoder::{LongValue, ReplyDecoder, ReplyProgress};
 use super::{cache, origin};
 use crate::memory::MemoryReservation;
 use crate::reply::{AttemptKey, ConnId, MalformedReply, Reply};
 use crate::request::Command;
 use crate::timers::ConnectionTimer;
 
-/// Chunk size in which replies are read. Before more of a longer reply is read, memory must be reserved for
-/// it.
+/// Maximum number of received bytes of a reply that are held without a memory reservation.
 const READ_CHUNK_BYTES: usize = 4096;
-/// Chunk size for a reply whose memory is reserved.
+/// Maximum number of received bytes of a reply with a buffered value that are held with a reservation. The
+/// first chunk, which needs no reservation, has space for the rest of the reply.
+const MAX_BUFFERED_REPLY_BYTES: usize = MAX_ARG_BYTES + READ_CHUNK_BYTES;
+/// Memory reserved for a reply with a buffered value, in bytes: the received value and its copy.
+const BUFFERED_REPLY_MEMORY: usize = 2 * MAX_ARG_BYTES;
+/// Chunk size of reads of a streamed value.
 const LONG_READ_CHUNK_BYTES: usize = 64 * 1024;
 /// Buffer size of a streamed value, in bytes: one chunk that is being written and one that is arriving.
 pub const STREAM_BUFFER: usize = 2 * LONG_READ_CHUNK_BYTES;
@@ -110,15 +115,16 @@
     pub keeps_surplus: bool,
 }
 
-/// Position and length of a value in the bytes of a reply.
-#[derive(Debug, Clone, Copy)]
-pub(super) struct ValuePosition {
-    /// Offset of the value's first byte.
-    pub start: usize,
-    /// Stated length of the value, in bytes.
-    pub length: usize,
-    /// Whether the connection can carry another request after the reply.
-    pub reusable: bool,
+/// Memory that must be reserved before more of a reply is read.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum MemoryDemand {
+    /// None.
+    Satisfied,
+    /// The connection must be queued for this many bytes, and counts as queued from now on.
+    Queue(usize),
+    /// The reservation must grow by this many bytes at once. A reply that holds memory does not wait for more:
+    /// replies that wait for each other's memory would hold it until their requests expire.
+    Grow(usize),
 }
 
 /// A connection to a server.
@@ -143,7 +149,13 @@
     stream_remaining: usize,
     /// Whether the connection can be used after the streamed reply.
     reusable_after_stream: bool,
+    /// Received bytes that are not decoded or forwarded yet.
     buffer: BytesMut,
+    decoder: ReplyDecoder,
+    /// The value of the current reply, if it is streamed.
+    long_value: Option<LongValue>,
+    /// Whether any byte of the current reply has arrived.
+    reply_has_begun: bool,
     reservation: Option<MemoryReservation>,
     awaits_memory: bool,
 }
@@ -172,6 +184,9 @@
             stream_remaining: 0,
             reusable_after_stream: false,
             buffer: BytesMut::new(),
+            decoder: ReplyDecoder::new(protocol),
+            long_value: None,
+            reply_has_begun: false,
             reservation: None,
             awaits_memory: false,
         }
@@ -183,14 +198,22 @@
             ConnState::Connecting | ConnState::Writing => 0,
             _ if self.awaits_memory => 0,
             ConnState::Streaming => LONG_READ_CHUNK_BYTES,
-            _ if self.reservation.is_some() => LONG_READ_CHUNK_BYTES,
-            _ => READ_CHUNK_BYTES,
+            _ => self.max_buffered_bytes().saturating_sub(self.buffered_bytes()),
+        }
+    }
+
+    /// Maximum number of received bytes that may be held now.
+    fn max_buffered_bytes(&self) -> usize {
+        match &self.reservation {
+            None => READ_CHUNK_BYTES,
+            Some(reservation) if self.decoder.has_unknown_length() => READ_CHUNK_BYTES + reservation.bytes(),
+            Some(_) => MAX_BUFFERED_REPLY_BYTES,
         }
     }
 
     /// Number of received bytes of a reply that is not complete yet.
     pub fn buffered_bytes(&self) -> usize {
-        self.buffer.len()
+        self.buffer.len() + self.decoder.decoded_bytes()
     }
 
     /// Returns the received part of the value of an incomplete reply; used by a deliberate fault.
@@ -209,10 +232,11 @@
         match self.state {
             ConnState::Streaming => {
                 self.buffer.extend_from_slice(bytes);
-                ReadOutcome::Piece(self.next_piece(options.max_value))
+                ReadOutcome::Piece(self.next_piece())
             }
             ConnState::Reading => {
                 self.buffer.extend_from_slice(bytes);
+                self.reply_has_begun |= !bytes.is_empty();
                 self.decode(now, options)
             }
             // A duplicate reply or stray bytes behind a reply could be mistaken for the next request's reply.
@@ -223,70 +247,69 @@
     }
 
     fn decode(&mut self, now: Micros, options: &DecodeOptions<'_>) -> ReadOutcome {
-        if let Some(position) = self.long_value_position() {
-            return match self.reservation {
-                _ if position.length > MAX_STREAMED_VALUE_BYTES => ReadOutcome::Malformed,
-                Some(_) => ReadOutcome::StreamBegins(position.length),
-                None => ReadOutcome::Incomplete,
-            };
+        if let Some(long_value) = self.long_value {
+            return self.begin_long_value(long_value);
         }
-        let buffer = &mut self.buffer;
-        let decoded = match self.protocol {
-            Protocol::Origin => origin::decode(buffer, options.load_names, options.max_value),
-            Protocol::Cache | Protocol::Store => cache::decode(buffer, options.load_names, options.max_value),
-        };
-        match decoded {
-            Ok(Some(reply)) => ReadOutcome::Reply(self.finish_reply(reply, options.keeps_surplus)),
-            Ok(None) => {
-                self.deadline = (!self.buffer.is_empty()).then_some(now + options.stall_timeout);
+        match self.decoder.decode(&mut self.buffer, options.load_names, options.max_value) {
+            Ok(ReplyProgress::Complete(reply)) => {
+                ReadOutcome::Reply(self.finish_reply(reply, options.keeps_surplus))
+            }
+            Ok(ReplyProgress::LongValue(long_value)) => {
+                self.long_value = Some(long_value);
+                self.begin_long_value(long_value)
+            }
+            Ok(ReplyProgress::Incomplete) => {
+                self.deadline = self.reply_has_begun.then_some(now + options.stall_timeout);
                 ReadOutcome::Incomplete
             }
             Err(MalformedReply) => ReadOutcome::Malformed,
         }
     }
 
+    fn begin_long_value(&self, long_value: LongValue) -> ReadOutcome {
+        match self.reservation {
+            _ if long_value.length > MAX_STREAMED_VALUE_BYTES => ReadOutcome::Malformed,
+            Some(_) => ReadOutcome::StreamBegins(long_value.length),
+            None => ReadOutcome::Incomplete,
+        }
+    }
+
     /// Completes a reply. Bytes behind it belong to no request, and later bytes could not be matched to one,
     /// so the connection is then not reusable.
     fn finish_reply(&mut self, reply: Reply, keeps_surplus: bool) -> Reply {
         let reusable = reply.reusable && (self.buffer.is_empty() || keeps_surplus);
         self.reservation = None;
         self.deadline = None;
+        self.reset_decoder();
         if !keeps_surplus {
             self.buffer = BytesMut::new();
         }
         Reply { reusable, ..reply }
     }
 
-    /// Returns the position of a value that is too long to be buffered; `None` if it is shorter or not known yet.
-    fn long_value_position(&self) -> Option<ValuePosition> {
-        let position = match self.protocol {
-            Protocol::Origin => origin::served_value_position(&self.buffer),
-            Protocol::Cache => resp::served_value_position(&self.buffer).map(|position| ValuePosition {
-                start: position.start,
-                length: position.length,
-                reusable: true,
-            }),
-            Protocol::Store => None,
-        };
-        position.filter(|position| position.length > MAX_ARG_BYTES)
+    /// Prepares the decoder for the next reply.
+    fn reset_decoder(&mut self) {
+        self.decoder = ReplyDecoder::new(self.protocol);
+        self.long_value = None;
+        self.reply_has_begun = false;
     }
 
     /// Begins to stream the value to a client, and returns the memory reservation for the client's buffer of
     /// the value.
     pub fn begin_stream(&mut self, target: StreamTarget) -> Option<MemoryReservation> {
-        let position = self.long_value_position()?;
-        let _ = self.buffer.split_to(position.start);
+        let long_value = self.long_value?;
+        self.reset_decoder();
         self.state = ConnState::Streaming;
         self.stream_target = Some(target);
         self.attempt = None;
-        self.stream_remaining = position.length;
-        self.reusable_after_stream = position.reusable;
+        self.stream_remaining = long_value.length;
+        self.reusable_after_stream = long_value.reusable;
         self.reservation.take()
     }
 
     /// Removes and returns the received part of the streamed value. After the value, checks the end of the
     /// reply.
-    pub fn next_piece(&mut self, max_value: usize) -> StreamPiece {
+    pub fn next_piece(&mut self) -> StreamPiece {
         let before = self.stream_remaining;
         let bytes = self.buffer.split_to(self.stream_remaining.min(self.buffer.len())).freeze();
         self.stream_remaining -= bytes.len();
@@ -294,7 +317,7 @@
             return StreamPiece { bytes, is_last: false, reply_end: None };
         }
         let ends_cleanly = match self.protocol {
-            Protocol::Cache => match resp::served_reply_rest_length(&self.buffer, max_value) {
+            Protocol::Cache => match resp::served_reply_rest_length(&self.buffer) {
                 Ok(None) => None,
                 Ok(Some(end)) => Some(end == self.buffer.len()),
                 // The value is still complete.
@@ -312,39 +335,44 @@
         }
     }
 
-    /// Returns the memory, in bytes, that must be reserved before more of the reply is read, so that long
-    /// replies together stay within the memory budget. The caller must queue the connection for that memory:
-    /// from now on the connection counts as queued.
-    pub fn must_queue_for_memory(&mut self, max_value: usize) -> Option<usize> {
-        let streams = self.long_value_position().is_some();
-        let fits_chunk = self.buffer.len() <= READ_CHUNK_BYTES && !streams;
-        if fits_chunk || self.reservation.is_some() || self.awaits_memory {
-            return None;
+    /// Returns the memory that must be reserved before more of the reply is read, so that replies together stay
+    /// within the memory budget. `max_value` is the maximum length of a buffered value, in bytes.
+    pub fn memory_demand(&mut self, max_value: usize) -> MemoryDemand {
+        if self.awaits_memory || self.state != ConnState::Reading {
+            return MemoryDemand::Satisfied;
+        }
+        let is_full = self.buffered_bytes() >= self.max_buffered_bytes();
+        match &self.reservation {
+            None if self.long_value.is_some() => self.queue_for_memory(STREAM_BUFFER),
+            None if is_full => self.queue_for_memory(BUFFERED_REPLY_MEMORY),
+            Some(reservation) if is_full => {
+                // One chunk more than the longest value, so that a longer one is found to be too long.
+                let longest = max_value + READ_CHUNK_BYTES;
+                let doubled = (2 * reservation.bytes()).min(longest.max(reservation.bytes()));
+                MemoryDemand::Grow(doubled - reservation.bytes())
+            }
+            _ => MemoryDemand::Satisfied,
         }
+    }
+
+    fn queue_for_memory(&mut self, bytes: usize) -> MemoryDemand {
         self.awaits_memory = true;
         self.deadline = None;
-        Some(if streams { STREAM_BUFFER } else { 2 * self.buffered_length(max_value) })
+        MemoryDemand::Queue(bytes)
+    }
+
+    /// The memory reservation of the reply.
+    pub fn reservation_mut(&mut self) -> Option<&mut MemoryReservation> {
+        self.reservation.as_mut()
     }
 
     /// Stores the memory reservation for a long reply. More of the reply must arrive by the deadline.
-    pub fn on_memory_granted(&mut self, reservation: MemoryReservation, max_value: usize, deadline: Micros) {
+    pub fn on_memory_granted(&mut self, reservation: MemoryReservation, deadline: Micros) {
         self.reservation = Some(reservation);
         self.awaits_memory = false;
         self.deadline = Some(deadline);
-        if self.long_value_position().is_some() {
-            return;
+        if self.long_value.is_none() {
+            self.buffer.reserve(MAX_BUFFERED_REPLY_BYTES.saturating_sub(self.buffer.len()));
         }
-        let length = self.buffered_length(max_value);
-        self.buffer.reserve(length.saturating_sub(self.buffer.len()));
-    }
-
-    /// Returns the number of bytes to buffer for a reply: the stated length of its value, between
-    /// `MAX_ARG_BYTES` and `max_value`.
-    fn buffered_length(&self, max_value: usize) -> usize {
-        let stated = match self.protocol {
-            Protocol::Origin => origin::value_length(&self.buffer),
-            Protocol::Cache | Protocol::Store => resp::value_length(&self.buffer),
-        };
-        stated.unwrap_or(0).clamp(MAX_ARG_BYTES, max_value.max(MAX_ARG_BYTES))
     }
 }
--- a/crates/stonevane-core/src/servers/mod.rs
+++ b/crates/stonevane-core/src/servers/mod.rs
@@ -2,10 +2,12 @@
 
 mod cache;
 mod conn;
+mod decoder;
 mod origin;
 mod pool;
 
 pub use conn::{
-    ConnState, DecodeOptions, Protocol, ReadOutcome, STREAM_BUFFER, ServerConn, StreamPiece, StreamTarget,
+    ConnState, DecodeOptions, MemoryDemand, Protocol, ReadOutcome, STREAM_BUFFER, ServerConn, StreamPiece,
+    StreamTarget,
 };
 pub use pool::Pool;
