Driver: a connection has one read a turn where more input waits

Cause: the reader of a connection with much input went on until the runtime's budget ended it, 128 reads of up to 64 KiB, and no other connection was read meanwhile.

Change: after a read that fills its limit the reader yields to the other tasks. Short reads, such as those of a hit, are as before.

--- a/crates/stonevane-node/src/driver/reading.rs
+++ b/crates/stonevane-node/src/driver/reading.rs
@@ -6,6 +6,7 @@
 use stonevane_core::{ConnId, Input};
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
+use tokio::task::yield_now;
 
 use super::socket::{PEER_CLOSED, peer_has_closed, read_from_socket, read_if_ready, would_block};
 use super::{Driver, READ_BUFFER_BYTES, State};
@@ -42,6 +43,8 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum NextRead {
     WhenReadable,
+    /// After the tasks of other connections have had their turn: the read was full, so more input is likely.
+    AfterOthers,
     /// After the core, which has paused reading, resumes it.
     WhenResumed,
     /// The connection no longer exists.
@@ -64,6 +67,7 @@
             }
             match self.read_once(id, &stream) {
                 NextRead::WhenReadable => {}
+                NextRead::AfterOthers => yield_now().await,
                 NextRead::WhenResumed => tokio::select! {
                     () = resume.notified() => {}
                     _ = stream.ready(PEER_CLOSED), if role == PeerRole::Client => {
@@ -75,6 +79,8 @@
         }
     }
 
+    /// Makes the one read of a connection's turn. It is bounded by the core's read budget and the size of the
+    /// read buffer, and so is the time for which other connections wait.
     fn read_once(self: &Arc<Self>, id: ConnId, stream: &TcpStream) -> NextRead {
         let mut state = self.lock();
         if !state.connections.contains_key(&id) {
@@ -86,11 +92,12 @@
             return NextRead::WhenResumed;
         }
         let read = if client_left { Ok(0) } else { read_if_ready(stream, &mut state.read_buffer[..limit]) };
+        let is_full = matches!(read, Ok(count) if count == limit);
         match self.handle_read(&mut state, id, read) {
             ReadEvent::Nothing => NextRead::WhenReadable,
             ReadEvent::Bytes => {
                 self.perform_outputs(&mut state);
-                NextRead::WhenReadable
+                if is_full { NextRead::AfterOthers } else { NextRead::WhenReadable }
             }
             ReadEvent::Closed => {
                 self.perform_outputs(&mut state);
--- a/crates/stonevane-node/src/driver/tests.rs
+++ b/crates/stonevane-node/src/driver/tests.rs
@@ -1,6 +1,6 @@
 use super::*;
 
-use std::io::Read;
+use std::io::{Read, Write};
 use std::time::Duration;
 
 use stonevane_config::operator;
@@ -73,3 +73,32 @@
         accepting.abort();
     });
 }
+
+/// Guards against a connection with much input that keeps the other connections from their turn (`review/3`).
+#[test]
+fn a_connection_with_much_input_is_read_once_a_turn() {
+    const PING: &[u8] = b"*1\r\n$4\r\nPING\r\n";
+    const ANSWER: &[u8] = b"-LOADING no list of servers yet\r\n";
+    const COMMANDS: usize = 4_000;
+    /// Commands of one read, of which the first may have begun in the read before.
+    const COMMANDS_OF_A_READ: usize = 4_096 / PING.len() + 1;
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    runtime.block_on(async {
+        let clock = Clock::start();
+        let driver = Driver::new(core(clock), clock, Exclusions::new(None), None, None);
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let mut client = std::net::TcpStream::connect(listener.local_addr().unwrap()).unwrap();
+        client.write_all(&PING.repeat(COMMANDS)).unwrap();
+        client.set_nonblocking(true).unwrap();
+        let accepting = tokio::spawn(driver.clone().accept_clients(listener));
+        driver.input(Input::Wake);
+        let (mut answered, mut buffer) = (0, vec![0; COMMANDS * ANSWER.len()]);
+        while answered < COMMANDS * ANSWER.len() {
+            tokio::task::yield_now().await;
+            let count = client.read(&mut buffer).unwrap_or(0);
+            assert!(count <= COMMANDS_OF_A_READ * ANSWER.len(), "{count} bytes are answered in a turn");
+            answered += count;
+        }
+        accepting.abort();
+    });
+}
