Simulation: clients with long commands, and answers that never end

New kinds of faults: long-commands, endless-cache, endless-origin, drawn behind the others, so that earlier draws stay as they were. New check after each step: a node buffers no more than it has reserved and 4 KiB for each connection.

--- a/crates/stonevane-sim/src/plan/mod.rs
+++ b/crates/stonevane-sim/src/plan/mod.rs
@@ -87,6 +87,18 @@
         /// New connections per second.
         per_s: u64,
     },
+    /// Clients connect and send a command of many long arguments, whose last one never comes.
+    LongCommands {
+        /// New connections per second.
+        per_s: u64,
+    },
+    /// A cache's answers never end: arrays in arrays with long elements. Their connections stay open.
+    EndlessCache {
+        /// Index of the cache, from 0.
+        cache: usize,
+    },
+    /// The origin's answers have a chunked body that never ends. Their connections stay open.
+    EndlessOrigin,
 }
 
 /// A fault, with its start and its duration.
@@ -282,7 +294,8 @@
             | FaultKind::DrainCache { cache }
             | FaultKind::TearCache { cache, .. }
             | FaultKind::NoisyCache { cache }
-            | FaultKind::GarbleCache { cache } => Some(cache),
+            | FaultKind::GarbleCache { cache }
+            | FaultKind::EndlessCache { cache } => Some(cache),
             _ => None,
         }
     }
--- a/crates/stonevane-sim/src/server/mod.rs
+++ b/crates/stonevane-sim/src/server/mod.rs
@@ -70,6 +70,8 @@
     pub sends_extra_bytes: bool,
     /// Whether each answer is corrupted.
     pub corrupts_answers: bool,
+    /// Whether no answer ends.
+    pub sends_endless_answers: bool,
     pub incarnation: u64,
     /// Simulated time of the last cold start, microseconds; `None` if the server was warm from the beginning.
     pub started_at: Option<u64>,
@@ -99,6 +101,7 @@
             truncate_every: None,
             sends_extra_bytes: false,
             corrupts_answers: false,
+            sends_endless_answers: false,
             incarnation: 0,
             started_at: None,
             versions: BTreeMap::new(),
--- a/crates/stonevane-sim/src/server/protocol.rs
+++ b/crates/stonevane-sim/src/server/protocol.rs
@@ -9,6 +9,9 @@
 use stonevane_server_model::value::digest;
 
 const HEAD_END: &[u8] = b"\r\n\r\n";
+/// Length of the parts of an endless answer, and their number.
+const ENDLESS_PART_BYTES: usize = 40_000;
+const ENDLESS_PARTS: usize = 14;
 
 /// A request as a server parses it.
 #[derive(Debug, Clone)]
@@ -120,6 +123,19 @@
     if request.is_http { http_answer(effect, value) } else { resp_answer(effect, value) }
 }
 
+/// Returns the beginning of an answer that has no end, in the protocol of a cache or of the origin: longer than
+/// a node may buffer.
+pub fn endless_answer(is_origin: bool) -> Vec<u8> {
+    let part = vec![b'x'; ENDLESS_PART_BYTES];
+    let (head, element) = if is_origin {
+        (&b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"[..], format!("{ENDLESS_PART_BYTES:x}\r\n"))
+    } else {
+        (&b"*16\r\n*16\r\n"[..], format!("${ENDLESS_PART_BYTES}\r\n"))
+    };
+    let element = [element.as_bytes(), &part, b"\r\n"].concat();
+    [head, &element.repeat(ENDLESS_PARTS)].concat()
+}
+
 fn http_answer(effect: Effect, value: Option<&str>) -> Vec<u8> {
     if effect == Effect::Busy {
         let head = "HTTP/1.1 503 Service Unavailable\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n";
--- a/crates/stonevane-sim/src/simulation/clients.rs
+++ b/crates/stonevane-sim/src/simulation/clients.rs
@@ -9,7 +9,6 @@
 use super::recorder::record;
 use super::{Invariant, Simulation, node};
 use crate::client::{BACKOFF_US, ClientRequest, MAX_ATTEMPTS, MIN_RESEND_TIME_US};
-use crate::plan::FaultKind;
 use crate::stream::{Chunk, Peer, Stream, StreamId};
 
 /// Time after an attempt's deadline at which a client without an answer closes its connection, microseconds.
@@ -237,6 +236,10 @@
                         .record_violation(Invariant::ClientProtocol, format!("node {node} sent {error:?}"));
                 }
             };
+            if stream.is_silent {
+                // The client sends no request that could be answered.
+                continue;
+            }
             let Some(number) = stream.in_flight.pop_front() else {
                 return self.unsolicited_reply(id, &reply);
             };
@@ -245,7 +248,8 @@
         }
         let Some(stream) = self.streams.get(&id) else { return };
         let idle = &mut self.nodes[stream.node].idle_clients;
-        if stream.in_flight.is_empty() && stream.is_peer_open && !idle.contains(&id) {
+        let is_idle = stream.in_flight.is_empty() && stream.is_peer_open && !stream.is_silent;
+        if is_idle && !idle.contains(&id) {
             idle.push(id);
         }
     }
@@ -336,10 +340,15 @@
         if request.is_over {
             return;
         }
-        if may_cross && !request.is_resent && request.attempt_deadline > now + MIN_RESEND_TIME_US {
-            request.is_resent = true;
-            return self.attempt(number);
+        if may_cross && !request.is_resent {
+            if request.attempt_deadline > now + MIN_RESEND_TIME_US {
+                request.is_resent = true;
+                return self.attempt(number);
+            }
+            // No time is left to resend the attempt, so its client gives it up.
+            self.record_client_left(number, from);
         }
+        let request = &mut self.requests[number];
         request.is_resent = false;
         if request.kind().may_retry {
             self.retry(number, BACKOFF_US);
@@ -412,33 +421,6 @@
             self.record_client_left(number, node);
         }
     }
-
-    /// Opens a connection of a crowd client, which never sends a request, and schedules the next such
-    /// connection.
-    pub(super) fn crowd_arrival(&mut self, fault: usize) {
-        let FaultKind::Crowd { per_s } = self.plan.faults[fault].kind else { return };
-        if self.crowd_faults == 0 {
-            return;
-        }
-        let node = self.rng.rand_range(0..self.nodes.len() as u64) as usize;
-        if self.nodes[node].is_listening {
-            let stream = Stream::new(node, self.nodes[node].incarnation, 0, Peer::Client);
-            let id = self.open_stream(Stream { is_silent: true, ..stream });
-            let at = self.now() + self.draw_delay();
-            if let Some(stream) = self.streams.get_mut(&id) {
-                stream.last_delivery_to_node = at;
-            }
-            self.schedule(at, Event::Connect(id));
-        }
-        self.schedule_in(1_000_000 / per_s.max(1), Event::CrowdArrival { fault });
-    }
-
-    /// Disconnects the clients of a crowd, which would otherwise hold their connections until the run's end.
-    pub(super) fn disconnect_crowd(&mut self) {
-        for id in self.streams_where(|stream| stream.is_open_client() && stream.is_silent) {
-            self.disconnect_client(id);
-        }
-    }
 }
 
 /// Encodes a request's command, which states the time left until the deadline, `left_us`.
--- a/crates/stonevane-sim/src/simulation/event.rs
+++ b/crates/stonevane-sim/src/simulation/event.rs
@@ -81,4 +81,8 @@
     CrowdArrival {
         fault: usize,
     },
+    /// A client connects that sends a command of many long arguments.
+    LongCommandArrival {
+        fault: usize,
+    },
 }
--- a/crates/stonevane-sim/src/simulation/faults.rs
+++ b/crates/stonevane-sim/src/simulation/faults.rs
@@ -60,15 +60,31 @@
             FaultKind::Impatient => count(&mut self.impatience_faults, begins),
             FaultKind::Crowd { .. } => {
                 count(&mut self.crowd_faults, begins);
-                if begins {
-                    self.crowd_arrival(number);
-                } else {
-                    self.disconnect_crowd();
-                }
+                self.apply_crowd(begins, Event::CrowdArrival { fault: number });
+            }
+            FaultKind::LongCommands { .. } => {
+                count(&mut self.long_command_faults, begins);
+                self.apply_crowd(begins, Event::LongCommandArrival { fault: number });
             }
+            FaultKind::EndlessCache { cache } => self.send_endless_answers(cache, begins),
+            FaultKind::EndlessOrigin => self.send_endless_answers(self.servers.len() - 1, begins),
+        }
+    }
+
+    /// Handles the first arrival of misbehaving clients, or disconnects them.
+    fn apply_crowd(&mut self, begins: bool, first_arrival: Event) {
+        if begins {
+            self.handle_event(first_arrival);
+        } else {
+            self.disconnect_crowd();
         }
     }
 
+    fn send_endless_answers(&mut self, server: usize, begins: bool) {
+        self.servers[server].sends_endless_answers = begins;
+        self.drop_unread(server, begins);
+    }
+
     /// Kills a cache when the fault begins, and restarts it cold when the fault ends.
     fn kill_cache(&mut self, cache: usize, begins: bool) {
         let server = self.servers[cache].name.clone();
@@ -88,11 +104,11 @@
         }
     }
 
-    /// Closes a cache's connections when a fault ends during which the cache read nothing. The unread
-    /// requests are lost.
-    fn drop_unread(&mut self, cache: usize, begins: bool) {
+    /// Closes a server's connections when a fault ends during which the server read nothing or ended no answer.
+    /// Unread requests are lost.
+    fn drop_unread(&mut self, server: usize, begins: bool) {
         if !begins {
-            self.close_connections(cache);
+            self.close_connections(server);
         }
     }
 
--- a/crates/stonevane-sim/src/simulation/invariants.rs
+++ b/crates/stonevane-sim/src/simulation/invariants.rs
@@ -15,6 +15,8 @@
 /// connection.
 const MAX_OWN_TIMERS: usize = 600;
 const MAX_TIMERS_PER_OPEN_ITEM: usize = 8;
+/// Received bytes that each connection of a node may buffer without a memory reservation.
+const UNRESERVED_BYTES_PER_CONNECTION: usize = 4096;
 
 impl Simulation<'_> {
     /// Records a violation unless the same invariant was violated before.
@@ -64,6 +66,14 @@
             );
             return Some((Invariant::Timers, detail));
         }
+        let unreserved = connections * UNRESERVED_BYTES_PER_CONNECTION;
+        if count.buffered > count.memory + unreserved {
+            let detail = format!(
+                "node {node} buffers {} bytes, {} reserved and {unreserved} without a reservation",
+                count.buffered, count.memory
+            );
+            return Some((Invariant::Memory, detail));
+        }
         let is_over = count.memory > self.plan.memory_mb << 20;
         is_over.then(|| {
             (Invariant::Memory, format!("node {node} uses {} bytes of memory, over its limit", count.memory))
--- a/crates/stonevane-sim/src/simulation/mod.rs
+++ b/crates/stonevane-sim/src/simulation/mod.rs
@@ -6,6 +6,7 @@
 //! of a run: changing it gives other histories for the same plan.
 
 mod clients;
+mod crowd;
 mod discovery;
 mod event;
 mod faults;
@@ -71,9 +72,10 @@
     requests: Vec<ClientRequest>,
     recorder: Recorder,
     violations: Vec<Violation>,
-    /// Numbers of faults in force, of the kinds `Impatient`, `Crowd` and `NoDiscovery`.
+    /// Numbers of faults in force, of the kinds `Impatient`, `Crowd`, `LongCommands` and `NoDiscovery`.
     impatience_faults: u32,
     crowd_faults: u32,
+    long_command_faults: u32,
     discovery_faults: u32,
     totals: FleetTotals,
     /// Ids of the attempts whose clients left before a server received them, with the simulated time of
@@ -106,6 +108,7 @@
             violations: Vec::new(),
             impatience_faults: 0,
             crowd_faults: 0,
+            long_command_faults: 0,
             discovery_faults: 0,
             totals: FleetTotals::default(),
             abandoned: HashMap::new(),
@@ -186,6 +189,7 @@
             Event::DiscoveryCallArrived(call, request) => self.discovery_call_arrived(call, request),
             Event::DiscoveryCallDone(call, request) => self.discovery_call_done(call, request),
             Event::CrowdArrival { fault } => self.crowd_arrival(fault),
+            Event::LongCommandArrival { fault } => self.long_command_arrival(fault),
         }
     }
 
--- a/crates/stonevane-sim/src/simulation/servers.rs
+++ b/crates/stonevane-sim/src/simulation/servers.rs
@@ -133,7 +133,8 @@
             format!("{key}.{version}.{request}.{server}.{attempt}")
         });
         let is_silent = server.is_silent || server.is_unreachable;
-        let is_intact = !(is_truncated || is_silent || server.corrupts_answers);
+        let is_endless = server.sends_endless_answers;
+        let is_intact = !(is_truncated || is_silent || server.corrupts_answers || is_endless);
         self.record_reply(number, request, work, value.as_deref().filter(|_| is_intact), version, is_intact);
         if is_silent {
             return;
@@ -143,6 +144,10 @@
             let caches = self.servers.iter_mut().filter(|server| !server.is_origin && server.is_up);
             caches.for_each(|cache| cache.fill(&request.id, &request.key, version));
         }
+        if is_endless {
+            let is_origin = self.servers[number].is_origin;
+            return self.server_writes(id, &protocol::endless_answer(is_origin));
+        }
         let value = value.map(|value| padded(&value, self.plan.value_bytes));
         let bytes = protocol::answer(request, work.effect, value.as_deref());
         self.send_answer(id, number, bytes, is_truncated);
