Memory: long lists of discovery and copies for caches are counted in the budget

- Discovery: up to three calls held 4 MiB each, and their decoded lists.
What a list has beyond 256 KiB is reserved now, two bytes for each, ahead of waiting connections, and released once the list is taken.
Without memory the call fails and the list in use stays.
A head that arrives in pieces is parsed at doubling lengths, and other tasks have a turn between two reads.
A cache's read buffer has 512 bytes (8 KiB).
- The part of memory that is left to connections grows with their number: 8 KiB for each, beyond 1,024 of them.

Evidence: a_long_list_is_counted_in_the_memory_budget_until_it_is_taken and copies_that_wait_for_a_slow_cache_are_counted_in_the_memory_budget; both use what did not exist before.

--- a/crates/stonevane-core/src/clients/mod.rs
+++ b/crates/stonevane-core/src/clients/mod.rs
@@ -14,7 +14,7 @@
 use crate::reply::ConnId;
 
 pub use resp::{ClientCommand, decode, encode};
-pub use session::{Evictability, EvictionClass, READ_CHUNK_BYTES, Session, SessionTimeout};
+pub use session::{Evictability, EvictionClass, Session, SessionTimeout};
 pub use slot::{Slot, StreamedAnswer};
 
 /// Time limits on client connections. Each expires at a fixed time that is not extended by a slow trickle of
--- a/crates/stonevane-core/src/clients/session.rs
+++ b/crates/stonevane-core/src/clients/session.rs
@@ -8,7 +8,7 @@
 
 use super::ClientTimeouts;
 use super::slot::{NextPiece, Slot, StreamedAnswer};
-use crate::memory::MemoryReservation;
+use crate::memory::{MemoryReservation, UNRESERVED_BYTES};
 use crate::reply::ConnId;
 use crate::timers::ConnectionTimer;
 
@@ -19,9 +19,6 @@
 const MAX_PIPELINE_LIMIT: usize = 64;
 /// Divisor of the memory budget: all pending answers of one connection together take at most the quotient.
 const PIPELINE_MEMORY_DIVISOR: usize = 16;
-/// Maximum number of received bytes that a connection holds without a memory reservation. A longer command
-/// waits for memory.
-pub const READ_CHUNK_BYTES: usize = 4096;
 /// Size up to which ready answers are joined into one write, in bytes.
 const MAX_COALESCED_WRITE_BYTES: usize = 64 * 1024;
 
@@ -157,7 +154,7 @@
             return 0;
         }
         // The rest of a long command that waits for memory stays in the socket and the client's buffers.
-        let max_buffered = if self.command_memory.is_some() { MAX_COMMAND_BYTES } else { READ_CHUNK_BYTES };
+        let max_buffered = if self.command_memory.is_some() { MAX_COMMAND_BYTES } else { UNRESERVED_BYTES };
         max_buffered.saturating_sub(self.input.len())
     }
 
@@ -166,7 +163,7 @@
     pub fn must_queue_for_memory(&mut self, memory: usize) -> bool {
         let must_queue = self.accepts_request(memory)
             && self.command_memory.is_none()
-            && self.input.len() >= READ_CHUNK_BYTES
+            && self.input.len() >= UNRESERVED_BYTES
             && !self.awaits_memory;
         self.awaits_memory |= must_queue;
         must_queue
--- a/crates/stonevane-core/src/lib.rs
+++ b/crates/stonevane-core/src/lib.rs
@@ -27,6 +27,7 @@
 pub use faults::{Faults, Mutant, MutantInfo, NoFaults};
 pub use io::{DiscoveryCall, DiscoveryRequest, Input, LogLine, Output, Outputs, StoreCall};
 pub use list::{DiscoveryEpoch, Endpoint, EndpointList};
+pub use memory::{MemoryAccount, MemoryReservation};
 pub use metrics::{ClassCounts, RegionMetrics, Report};
 pub use node::{Core, CoreConfig, HandoverStatus, ResourceCounts};
 pub use reply::{ConnId, Reply};
--- a/crates/stonevane-core/src/node/connections.rs
+++ b/crates/stonevane-core/src/node/connections.rs
@@ -11,7 +11,7 @@
 use crate::faults::{Faults, Mutant};
 use crate::handover::Capacity;
 use crate::io::Output;
-use crate::memory::MemoryBudget;
+use crate::memory::{MemoryAccount, MemoryBudget};
 use crate::reply::ConnId;
 use crate::servers::Pool;
 use crate::timers::TimerKind;
@@ -99,7 +99,7 @@
     pub fn new(config: &CoreConfig) -> Connections {
         let second_process_mb = SECOND_PROCESS_MB.min(config.memory_mb / SECOND_PROCESS_MEMORY_DIVISOR);
         let reserved_mb = if config.can_be_replaced { second_process_mb } else { 0 };
-        let memory = MemoryBudget::new(config.memory_mb - reserved_mb);
+        let memory = MemoryBudget::new(config.memory_mb - reserved_mb, config.max_sockets);
         let rest = config.servers.rest.as_micros() as Micros;
         let mut connections = Connections {
             next_id: 1,
@@ -187,6 +187,11 @@
         self.connections.allocate_id()
     }
 
+    /// Returns a handle to the memory budget for data that the driver holds itself.
+    pub fn memory_account(&self) -> MemoryAccount {
+        self.connections.memory.account()
+    }
+
     /// Returns whether a client connection may be accepted now.
     pub fn accepts(&self) -> bool {
         let connections = &self.connections;
--- a/crates/stonevane-core/src/node/requests.rs
+++ b/crates/stonevane-core/src/node/requests.rs
@@ -6,7 +6,7 @@
 
 use super::Core;
 use super::drain::Phase;
-use crate::clients::{self, ClientCommand, READ_CHUNK_BYTES, Slot};
+use crate::clients::{self, ClientCommand, Slot};
 use crate::faults::{Faults, Mutant};
 use crate::memory::MemoryReservation;
 use crate::reply::{AttemptKey, ConnId};
@@ -15,6 +15,8 @@
 
 /// Upper bound of requests without an answer, even if the settings allow more.
 const MAX_UNANSWERED: usize = 1024;
+/// Memory reserved for a request besides its value, in bytes.
+const REQUEST_BYTES: usize = 4096;
 /// Number of copies of a value that a request may hold: the received one and the one that is written to a
 /// server.
 const VALUE_COPIES: usize = 2;
@@ -163,7 +165,7 @@
         if self.requests.unanswered >= max_unanswered {
             return Err(ArrivalError::TooManyPending);
         }
-        let reservation = self.connections.memory.try_reserve(READ_CHUNK_BYTES + VALUE_COPIES * value);
+        let reservation = self.connections.memory.try_reserve(REQUEST_BYTES + VALUE_COPIES * value);
         reservation.ok_or(ArrivalError::TooManyPending)
     }
 
--- a/crates/stonevane-core/src/servers/conn.rs
+++ b/crates/stonevane-core/src/servers/conn.rs
@@ -9,16 +9,14 @@
 
 use super::decoder::{LongValue, ReplyDecoder, ReplyProgress};
 use super::{cache, origin};
-use crate::memory::MemoryReservation;
+use crate::memory::{MemoryReservation, UNRESERVED_BYTES};
 use crate::reply::{AttemptKey, ConnId, MalformedReply, Reply};
 use crate::request::Command;
 use crate::timers::ConnectionTimer;
 
-/// Maximum number of received bytes of a reply that are held without a memory reservation.
-const READ_CHUNK_BYTES: usize = 4096;
 /// Maximum number of received bytes of a reply with a buffered value that are held with a reservation. The
-/// first chunk, which needs no reservation, has space for the rest of the reply.
-const MAX_BUFFERED_REPLY_BYTES: usize = MAX_ARG_BYTES + READ_CHUNK_BYTES;
+/// bytes that need none have space for the rest of the reply.
+const MAX_BUFFERED_REPLY_BYTES: usize = MAX_ARG_BYTES + UNRESERVED_BYTES;
 /// Memory reserved for a reply with a buffered value, in bytes: the received value and its copy.
 const BUFFERED_REPLY_MEMORY: usize = 2 * MAX_ARG_BYTES;
 /// Chunk size of reads of a streamed value.
@@ -205,8 +203,8 @@
     /// Maximum number of received bytes that may be held now.
     fn max_buffered_bytes(&self) -> usize {
         match &self.reservation {
-            None => READ_CHUNK_BYTES,
-            Some(reservation) if self.decoder.has_unknown_length() => READ_CHUNK_BYTES + reservation.bytes(),
+            None => UNRESERVED_BYTES,
+            Some(reservation) if self.decoder.has_unknown_length() => UNRESERVED_BYTES + reservation.bytes(),
             Some(_) => MAX_BUFFERED_REPLY_BYTES,
         }
     }
@@ -346,8 +344,8 @@
             None if self.long_value.is_some() => self.queue_for_memory(STREAM_BUFFER),
             None if is_full => self.queue_for_memory(BUFFERED_REPLY_MEMORY),
             Some(reservation) if is_full => {
-                // One chunk more than the longest value, so that a longer one is found to be too long.
-                let longest = max_value + READ_CHUNK_BYTES;
+                // More than the longest value, so that a longer one is found to be too long.
+                let longest = max_value + UNRESERVED_BYTES;
                 let doubled = (2 * reservation.bytes()).min(longest.max(reservation.bytes()));
                 MemoryDemand::Grow(doubled - reservation.bytes())
             }
--- a/crates/stonevane-node/src/cache_updates/connection.rs
+++ b/crates/stonevane-node/src/cache_updates/connection.rs
@@ -2,9 +2,11 @@
 
 use std::io::{ErrorKind, Result};
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
+use stonevane_core::MemoryReservation;
 use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader};
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
@@ -17,6 +19,8 @@
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(200);
 /// Maximum length of an answer.
 const MAX_LINE_BYTES: usize = 256;
+/// Size of the read buffer of a connection, which stays open while its cache is listed.
+const READ_BUFFER_BYTES: usize = 512;
 /// Answer of a cache that has carried out a command.
 const DONE_LINE: &[u8] = b"+OK\r\n";
 /// First byte of an answer that rejects a command.
@@ -27,6 +31,8 @@
     pub bytes: Bytes,
     /// For an invalidation: the key and version that the answer acknowledges.
     pub acknowledged: Option<(String, u64)>,
+    /// Memory of a fill, shared by the commands to all caches.
+    pub _reservation: Option<Arc<MemoryReservation>>,
 }
 
 /// Sends a cache its commands, and reports to the dispatcher each acknowledged invalidation, and the end of
@@ -98,7 +104,7 @@
 async fn connect(cache: SocketAddr) -> Result<BufReader<TcpStream>> {
     let stream = TcpStream::connect(cache).await?;
     stream.set_nodelay(true)?;
-    Ok(BufReader::new(stream))
+    Ok(BufReader::with_capacity(READ_BUFFER_BYTES, stream))
 }
 
 async fn read_line(stream: &mut BufReader<TcpStream>) -> Result<Vec<u8>> {
--- a/crates/stonevane-node/src/cache_updates/dispatcher.rs
+++ b/crates/stonevane-node/src/cache_updates/dispatcher.rs
@@ -3,10 +3,12 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use stonevane_codec::resp;
+use stonevane_core::MemoryReservation;
 use stonevane_policy::Micros;
 use stonevane_store::copies::{Copies, EditId, Limits};
 use tokio::sync::{mpsc, oneshot, watch};
@@ -83,6 +85,7 @@
             let command = CacheCommand {
                 bytes: resp::encode_command(&arguments),
                 acknowledged: Some((invalidation.key.clone(), invalidation.version)),
+                _reservation: None,
             };
             self.send(invalidation.cache, command);
         }
@@ -98,7 +101,10 @@
 
     fn handle(&mut self, command: Command) {
         match command {
-            Command::Fill { caches, key, version, value } => self.fill(caches, &key, version, &value),
+            Command::Fill { caches, key, version, value, reservation } => {
+                let bytes = self.encode_fill(&key, version, &value);
+                self.fill(caches, &bytes, reservation);
+            }
             Command::Invalidate { edit, key, version, done } => {
                 let caches = self.caches.borrow().clone();
                 // If there is no capacity to track the edit, `done` is dropped, so that the edit's receipt
@@ -117,13 +123,23 @@
         }
     }
 
-    fn fill(&mut self, caches: Vec<SocketAddr>, key: &str, version: u64, value: &Bytes) {
+    fn encode_fill(&self, key: &str, version: u64, value: &Bytes) -> Bytes {
         let version = version.to_string();
-        let arguments =
-            [b"OBJ.FILL", key.as_bytes(), version.as_bytes(), self.lifetime_ms.as_bytes(), value.as_ref()];
-        let bytes = resp::encode_command(&arguments);
+        resp::encode_command(&[
+            b"OBJ.FILL",
+            key.as_bytes(),
+            version.as_bytes(),
+            self.lifetime_ms.as_bytes(),
+            value.as_ref(),
+        ])
+    }
+
+    /// Queues a fill for each cache; the caches' queues share its bytes and its reservation.
+    fn fill(&mut self, caches: Vec<SocketAddr>, bytes: &Bytes, reservation: MemoryReservation) {
+        let reservation = Arc::new(reservation);
         for cache in caches {
-            self.send(cache, CacheCommand { bytes: bytes.clone(), acknowledged: None });
+            let (bytes, reservation) = (bytes.clone(), Some(reservation.clone()));
+            self.send(cache, CacheCommand { bytes, acknowledged: None, _reservation: reservation });
         }
     }
 
--- a/crates/stonevane-node/src/cache_updates/mod.rs
+++ b/crates/stonevane-node/src/cache_updates/mod.rs
@@ -15,6 +15,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use stonevane_core::{MemoryAccount, MemoryReservation};
 use stonevane_store::copies::EditId;
 use tokio::sync::{mpsc, oneshot, watch};
 
@@ -23,6 +24,9 @@
 /// Capacity of the dispatcher's command queue, and of each cache's command queue, in commands.
 const QUEUE_CAPACITY: usize = 1_024;
 
+/// Number of copies of a value that a fill holds: the value and the encoded command.
+const VALUE_COPIES: usize = 2;
+
 /// Command or report to the dispatcher.
 enum Command {
     Fill {
@@ -30,6 +34,8 @@
         key: String,
         version: u64,
         value: Bytes,
+        /// Memory of the value and of the encoded command, until the last cache was sent it.
+        reservation: MemoryReservation,
     },
     Invalidate {
         edit: EditId,
@@ -54,20 +60,27 @@
 pub struct CacheUpdater {
     commands: mpsc::Sender<Command>,
     next_edit: Arc<AtomicU64>,
+    memory: MemoryAccount,
 }
 
 impl CacheUpdater {
     /// Starts the dispatcher. `caches` holds the addresses of the cache servers in discovery's list;
     /// `lifetime` is the maximum lifetime of a copy.
-    pub fn start(caches: watch::Receiver<Vec<SocketAddr>>, lifetime: Duration) -> CacheUpdater {
+    /// Copies that wait to be sent are counted in the memory budget.
+    pub fn start(
+        caches: watch::Receiver<Vec<SocketAddr>>,
+        lifetime: Duration,
+        memory: MemoryAccount,
+    ) -> CacheUpdater {
         let (commands, received) = mpsc::channel(QUEUE_CAPACITY);
         tokio::spawn(Dispatcher::new(commands.clone(), caches, lifetime).run(received));
-        CacheUpdater { commands, next_edit: Arc::new(AtomicU64::new(1)) }
+        CacheUpdater { commands, next_edit: Arc::new(AtomicU64::new(1)), memory }
     }
 
-    /// Sends a copy to caches that missed. If the queue is full, the copy is not sent.
+    /// Sends a copy to caches that missed. If the queue or the memory budget is full, the copy is not sent.
     pub fn fill(&self, caches: Vec<SocketAddr>, key: String, version: u64, value: Bytes) {
-        let _ = self.commands.try_send(Command::Fill { caches, key, version, value });
+        let Some(reservation) = self.memory.try_reserve(VALUE_COPIES * value.len()) else { return };
+        let _ = self.commands.try_send(Command::Fill { caches, key, version, value, reservation });
     }
 
     /// Makes all caches drop copies of a key that are older than a version.
@@ -103,3 +116,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/stonevane-node/src/discovery/call.rs
+++ b/crates/stonevane-node/src/discovery/call.rs
@@ -6,12 +6,13 @@
 use std::time::Duration;
 
 use bytes::BytesMut;
-use stonevane_codec::http::{self, ChunkedDecoder, ResponseHead};
+use stonevane_codec::http::{ChunkedDecoder, HeadDecoder, ResponseHead};
 use stonevane_codec::lines::ObjectReader;
 use stonevane_core::discovery_timeouts::{Awaited, DiscoveryTimeouts};
-use stonevane_core::{DiscoveryEpoch, Input};
+use stonevane_core::{DiscoveryEpoch, Input, MemoryAccount, MemoryReservation};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
+use tokio::task::yield_now;
 use tokio::time::{Instant, timeout};
 
 use super::error::CallError;
@@ -19,6 +20,12 @@
 
 /// A longer endpoint list is treated as malformed.
 const MAX_LIST_BYTES: usize = 4 * 1024 * 1024;
+/// Length up to which an endpoint list needs no memory reservation, in bytes.
+const UNRESERVED_LIST_BYTES: usize = 256 * 1024;
+/// Bytes reserved for each received byte of a list: the list and its decoded form.
+const RESERVED_PER_LIST_BYTE: usize = 2;
+/// Step in which the reservation for a list grows, in bytes of the list.
+const LIST_RESERVATION_STEP_BYTES: usize = 64 * 1024;
 /// Free capacity of the buffer that is reserved for each read.
 const READ_RESERVE_BYTES: usize = 4096;
 const STATUS_OK: u16 = 200;
@@ -30,6 +37,8 @@
     pub epoch: DiscoveryEpoch,
     pub timeouts: DiscoveryTimeouts,
     pub traffic: Arc<Traffic>,
+    /// The node's memory budget, in which long lists are counted. `None`: they are not counted.
+    pub memory: Option<MemoryAccount>,
 }
 
 impl CallContext {
@@ -73,6 +82,7 @@
 pub(super) struct PendingCall {
     stream: TcpStream,
     received: BytesMut,
+    head_decoder: HeadDecoder,
     traffic: Arc<Traffic>,
 }
 
@@ -91,7 +101,12 @@
         let request = format!("GET {path} HTTP/1.1\r\nHost: {address}\r\nAccept: application/json\r\n\r\n");
         stream.write_all(request.as_bytes()).await?;
         Traffic::add(&context.traffic.sent, request.len());
-        Ok(PendingCall { stream, received: BytesMut::new(), traffic: context.traffic.clone() })
+        Ok(PendingCall {
+            stream,
+            received: BytesMut::new(),
+            head_decoder: HeadDecoder::default(),
+            traffic: context.traffic.clone(),
+        })
     }
 
     /// Returns the head of the response. If the wait is abandoned, the bytes that have arrived stay in the
@@ -103,7 +118,7 @@
         last_received: &mut Instant,
     ) -> Result<ResponseHead, CallError> {
         loop {
-            if let Some(head) = http::response_head(&self.received).map_err(|_| CallError::Malformed)? {
+            if let Some(head) = self.head_decoder.decode(&self.received).map_err(|_| CallError::Malformed)? {
                 let accepted = head.status == STATUS_OK;
                 return if accepted { Ok(head) } else { Err(CallError::Status(head.status)) };
             }
@@ -127,7 +142,7 @@
         last_received: &mut Instant,
     ) -> Result<(), CallError> {
         *last_received = Instant::now();
-        let mut body = Body::new(&head);
+        let mut body = Body::new(&head, context.memory.clone());
         let mut objects = ObjectReader::default();
         let mut established = false;
         let _ = self.received.split_to(head.length);
@@ -147,6 +162,9 @@
             if body.bytes.len() > MAX_LIST_BYTES {
                 return Err(CallError::Malformed);
             }
+            body.reserve_memory()?;
+            // Discovery may send without a pause, and other connections have their turn meanwhile.
+            yield_now().await;
             self.received.reserve(READ_RESERVE_BYTES);
             let read = self.stream.read_buf(&mut self.received);
             let read = timeout(context.timeout(Awaited::Line), read).await;
@@ -166,6 +184,14 @@
     }
 }
 
+/// Returns the memory to reserve, in bytes, before more is received of a list of which `received` bytes have
+/// arrived.
+fn reserved_bytes(received: usize) -> usize {
+    let unreserved = UNRESERVED_LIST_BYTES - LIST_RESERVATION_STEP_BYTES;
+    let excess = received.saturating_sub(unreserved);
+    excess.next_multiple_of(LIST_RESERVATION_STEP_BYTES) * RESERVED_PER_LIST_BYTE
+}
+
 /// Body of a response, without its transfer encoding.
 struct Body {
     bytes: BytesMut,
@@ -174,17 +200,35 @@
     chunks: ChunkedDecoder,
     /// Remaining bytes of a body that is not chunked.
     remaining: usize,
+    /// The node's memory budget, and the part of it that the received bytes have.
+    memory: Option<MemoryAccount>,
+    reservation: Option<MemoryReservation>,
 }
 
 impl Body {
-    fn new(head: &ResponseHead) -> Body {
+    fn new(head: &ResponseHead, memory: Option<MemoryAccount>) -> Body {
         Body {
             bytes: BytesMut::new(),
             is_single_list: head.content_length.is_some(),
             is_chunked: head.chunked,
             chunks: ChunkedDecoder::default(),
             remaining: head.content_length.unwrap_or(usize::MAX),
+            memory,
+            reservation: None,
+        }
+    }
+
+    /// Reserves the memory for more of a long list, or releases that of the last one: a watch lasts longer than
+    /// its lists.
+    fn reserve_memory(&mut self) -> Result<(), CallError> {
+        if self.bytes.is_empty() {
+            self.bytes = BytesMut::new();
+            self.reservation = None;
         }
+        let bytes = reserved_bytes(self.bytes.len());
+        let Some(memory) = self.memory.as_ref().filter(|_| bytes > 0) else { return Ok(()) };
+        let reservation = self.reservation.get_or_insert_with(|| memory.empty_reservation());
+        if memory.try_extend(reservation, bytes) { Ok(()) } else { Err(CallError::OutOfMemory) }
     }
 
     /// Moves received bytes into the body. Returns whether the body has ended.
@@ -198,3 +242,6 @@
         Ok(self.remaining == 0)
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/stonevane-node/src/discovery/error.rs
+++ b/crates/stonevane-node/src/discovery/error.rs
@@ -21,6 +21,9 @@
     /// The response is not a complete endpoint list; the list in use stays.
     #[error("brought no list, or one that was cut off")]
     Malformed,
+    /// The memory budget has no space for the list; the list in use stays.
+    #[error("brought a list for which no memory is left")]
+    OutOfMemory,
 }
 
 /// Classifies the end of a call for the core.
--- a/crates/stonevane-node/src/discovery/mod.rs
+++ b/crates/stonevane-node/src/discovery/mod.rs
@@ -9,7 +9,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
-use stonevane_core::{DiscoveryCall, DiscoveryRequest, Input};
+use stonevane_core::{DiscoveryCall, DiscoveryRequest, Input, MemoryAccount};
 use tokio::task::AbortHandle;
 use tokio::time::{Instant, sleep};
 
@@ -47,6 +47,7 @@
     list_version: Arc<AtomicU64>,
     sink: InputSink,
     traffic: Arc<Traffic>,
+    memory: Option<MemoryAccount>,
     watch: Option<AbortHandle>,
     unanswered: UnansweredWatch,
     fetch: Option<AbortHandle>,
@@ -60,6 +61,7 @@
             list_version,
             sink,
             traffic: Arc::default(),
+            memory: None,
             watch: None,
             unanswered: UnansweredWatch::default(),
             fetch: None,
@@ -71,6 +73,11 @@
         Discovery { traffic, ..self }
     }
 
+    /// Counts long lists in the memory budget while they are received.
+    pub fn with_memory(self, memory: MemoryAccount) -> Self {
+        Discovery { memory: Some(memory), ..self }
+    }
+
     /// Makes the requested call, or ends calls.
     pub fn call(&mut self, call: DiscoveryCall) {
         let context = CallContext {
@@ -78,6 +85,7 @@
             epoch: call.epoch,
             timeouts: call.timeouts,
             traffic: self.traffic.clone(),
+            memory: self.memory.clone(),
         };
         match call.request {
             DiscoveryRequest::Watch { after } => self.watch(call.address, after, context),
--- a/crates/stonevane-node/src/driver/mod.rs
+++ b/crates/stonevane-node/src/driver/mod.rs
@@ -142,7 +142,9 @@
                 driver.input(input);
             }
         });
-        self.lock().discovery = Some(Discovery::new(self.list_version.clone(), sink));
+        let mut state = self.lock();
+        let memory = state.core.memory_account();
+        state.discovery = Some(Discovery::new(self.list_version.clone(), sink).with_memory(memory));
     }
 
     /// Starts the store, which notifies the core while it is unavailable.
@@ -154,7 +156,8 @@
                 driver.input(Input::OriginUnavailable(duration));
             }
         });
-        self.lock().caches = store.start(unavailable);
+        let memory = self.lock().core.memory_account();
+        self.lock().caches = store.start(unavailable, memory);
     }
 
     /// Accepts clients and runs timers until the node has drained, then closes all connections.
--- a/crates/stonevane-node/src/store/mod.rs
+++ b/crates/stonevane-node/src/store/mod.rs
@@ -12,7 +12,7 @@
 
 use bytes::Bytes;
 use stonevane_config::operator;
-use stonevane_core::{Reply, StoreCall};
+use stonevane_core::{MemoryAccount, Reply, StoreCall};
 use stonevane_policy::{AttemptStatus, Micros};
 use stonevane_store::{Change, Postgres, Sqlite, Store, StoreError, breaker, postgres, quick, sqlite};
 use tokio::sync::watch;
@@ -85,7 +85,12 @@
     /// Starts to follow the store's changes, if it announces them, and to send fills and invalidations to
     /// caches, if that is configured. In that case returns the channel through which the caller publishes the
     /// addresses of the caches.
-    pub fn start(&self, on_unavailable: OnUnavailable) -> Option<watch::Sender<Vec<SocketAddr>>> {
+    /// Copies that wait to be sent are counted in the memory budget.
+    pub fn start(
+        &self,
+        on_unavailable: OnUnavailable,
+        memory: MemoryAccount,
+    ) -> Option<watch::Sender<Vec<SocketAddr>>> {
         let _ = self.0.on_unavailable.set(on_unavailable);
         if let Some(mut changes) = self.0.store.follow() {
             let inner = self.0.clone();
@@ -97,7 +102,7 @@
         }
         let copies = self.0.copies?;
         let (caches, addresses) = watch::channel(Vec::new());
-        self.0.cache_updater.set(CacheUpdater::start(addresses, copies.lifetime)).ok()?;
+        self.0.cache_updater.set(CacheUpdater::start(addresses, copies.lifetime, memory)).ok()?;
         Some(caches)
     }
 
