Core: joined writes in a module of their own; bad commands tested byte by byte

No change of behavior.

The test of long commands now also reads them byte by byte and in reads of 4,000 bytes.

--- a/crates/stonevane-core/src/clients/mod.rs
+++ b/crates/stonevane-core/src/clients/mod.rs
@@ -1,5 +1,6 @@
 //! Client connections: sessions, their time limits, and the order of eviction from a full table.
 
+mod coalesced_write;
 mod resp;
 mod session;
 mod slot;
--- a/crates/stonevane-core/src/clients/session.rs
+++ b/crates/stonevane-core/src/clients/session.rs
@@ -7,6 +7,7 @@
 use stonevane_policy::Micros;
 
 use super::ClientTimeouts;
+use super::coalesced_write::CoalescedWrite;
 use super::slot::{NextPiece, Slot, StreamedAnswer};
 use crate::memory::{MemoryReservation, UNRESERVED_BYTES};
 use crate::reply::ConnId;
@@ -19,8 +20,6 @@
 const MAX_PIPELINE_LIMIT: usize = 64;
 /// Divisor of the memory budget: all pending answers of one connection together take at most the quotient.
 const PIPELINE_MEMORY_DIVISOR: usize = 16;
-/// Size up to which ready answers are joined into one write, in bytes.
-const MAX_COALESCED_WRITE_BYTES: usize = 64 * 1024;
 
 /// Reason why a connection may be evicted, in the order of eviction.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -337,7 +336,7 @@
         }
         let mut write = CoalescedWrite::default();
         let mut reservations = Vec::new();
-        while write.len() < MAX_COALESCED_WRITE_BYTES {
+        while write.has_space() {
             let Some(bytes) = self.next_output(&mut reservations) else { break };
             write.push(bytes);
         }
@@ -453,32 +452,3 @@
         SessionTimeout::Idle
     }
 }
-
-/// Answers joined into one write. A single answer is not copied.
-#[derive(Default)]
-struct CoalescedWrite {
-    single: Bytes,
-    joined: BytesMut,
-}
-
-impl CoalescedWrite {
-    fn len(&self) -> usize {
-        self.single.len().max(self.joined.len())
-    }
-
-    fn push(&mut self, bytes: Bytes) {
-        if self.single.is_empty() && self.joined.is_empty() {
-            self.single = bytes;
-            return;
-        }
-        if !self.single.is_empty() {
-            self.joined.extend_from_slice(&std::mem::take(&mut self.single));
-        }
-        self.joined.extend_from_slice(&bytes);
-    }
-
-    fn finish(self) -> Option<Bytes> {
-        let bytes = if self.joined.is_empty() { self.single } else { self.joined.freeze() };
-        (!bytes.is_empty()).then_some(bytes)
-    }
-}
--- a/crates/stonevane-core/tests/command_memory.rs
+++ b/crates/stonevane-core/tests/command_memory.rs
@@ -105,10 +105,10 @@
         budget > 0
     }
 
-    /// Reads all clients in turn until the core reads no more of any.
-    fn read_in_turn(&mut self, clients: &mut [Client]) {
+    /// Reads all clients in turn, at most `max_bytes` of each, until the core reads no more of any.
+    fn read_in_turn(&mut self, clients: &mut [Client], max_bytes: usize) {
         loop {
-            let progress = clients.iter_mut().filter_map(|client| self.read(client, 1 << 16).then_some(()));
+            let progress = clients.iter_mut().filter_map(|client| self.read(client, max_bytes).then_some(()));
             if progress.count() == 0 {
                 return;
             }
@@ -147,10 +147,12 @@
 /// Guards against a node that is killed for memory by commands of many long arguments (`review/2`).
 #[test]
 fn commands_of_many_long_arguments_are_rejected_before_they_exceed_their_reservation() {
-    for memory_mb in [32, 64, 192] {
+    for (memory_mb, clients, max_bytes) in
+        [(32, BAD_CLIENTS, 1 << 16), (64, BAD_CLIENTS, 1 << 16), (192, BAD_CLIENTS, 4_000), (32, 2, 1)]
+    {
         let mut harness = Harness::new(memory_mb);
-        let mut bad: Vec<_> = (0..BAD_CLIENTS).map(|_| harness.connect(many_long_arguments())).collect();
-        harness.read_in_turn(&mut bad);
+        let mut bad: Vec<_> = (0..clients).map(|_| harness.connect(many_long_arguments())).collect();
+        harness.read_in_turn(&mut bad, max_bytes);
         for client in &bad {
             assert_eq!(harness.answer(client), "-ERR protocol error: value or command too long\r\n");
             assert!(harness.half_closed.contains(&client.id), "its connection is ended");
@@ -167,7 +169,7 @@
         let mut harness = Harness::new(memory_mb);
         let mut clients: Vec<_> = (0..BAD_CLIENTS).map(|_| harness.connect(many_long_arguments())).collect();
         clients.push(harness.connect(longest_command('i')));
-        harness.read_in_turn(&mut clients);
+        harness.read_in_turn(&mut clients, 1 << 16);
         assert_eq!(harness.answer(&clients[BAD_CLIENTS]), "$4\r\nmade\r\n", "{memory_mb} MB");
         assert_eq!(harness.requests, 1);
     }
