Test of late first responses: the warm-up is paced

The warm-up sent fetches without a pause until one reused a connection, which happens 15 ms after a response at the earliest, and a node makes 30 calls a second to the origin: where a fetch takes under half a millisecond, the thirty-first is refused before that.

--- a/crates/stonevane-node/tests/node/origin.rs
+++ b/crates/stonevane-node/tests/node/origin.rs
@@ -18,6 +18,9 @@
 /// Idle time after which the node has closed a connection to the origin.
 const IDLE_TIME: Duration = Duration::from_millis(600);
 
+/// Pause after each fetch of the warm-up.
+const WARM_UP_PAUSE: Duration = Duration::from_millis(5);
+
 /// Settings of one node of 300, whose next fetch waits for more than 7 s after one slow response of the
 /// origin.
 fn settings_of_one_of_300_nodes() -> String {
@@ -40,11 +43,13 @@
     })
 }
 
-/// Sends fetches one after another until one reuses a connection.
+/// Sends fetches one after another until one reuses a connection. They are paced, because the node makes 30 calls
+/// a second to the origin, and reuses a connection only some time after its last response.
 fn warm_up(client: &mut Client, origin: &EmulatedServer) {
     let mut connections = HashSet::new();
     let reused = (0..1_000).any(|key| {
         assert_eq!(client.request(&get(&format!("a{key:x}"), &format!("w{key}"))).unwrap(), "quick");
+        std::thread::sleep(WARM_UP_PAUSE);
         !connections.insert(origin.next_request().conn)
     });
     assert!(reused, "no connection was used twice");
