--- a/review/7/case.rs
+++ b/review/7/case.rs
@@ -1,39 +1,53 @@
-//! Case 7: clients that send several commands at once to a node whose descriptors a crowd fills.
+//! Case 7: answers of cache servers whose stated length does not fit, for values that are passed on as they come.
 
 #[path = "../stand-ins-2/common.rs"]
 mod common;
 
 use std::io::Write;
-use std::net::TcpStream;
-use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex};
-use std::thread;
-use std::time::{Duration, Instant};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
 
 use common::*;
 
-/// Commands that a client sends at once.
-const BATCH: usize = 8;
-/// Connections of the crowd in a burst, which say nothing.
-const CROWD: usize = 150;
-const PLAY: Duration = Duration::from_secs(20);
+/// Length of the values, within the 4 MiB of the pages.
+const VALUE: usize = 200_000;
+/// How much less a spoilt answer says.
+const MISSING: usize = 20_000;
+/// One answer in so many is spoilt.
+const SPOILT: u64 = 10;
+const REQUESTS: u64 = 300;
+
+/// The value of a key: lines that name it.
+fn value_of(key: &str) -> Vec<u8> {
+    format!("{key}\n").into_bytes().into_iter().cycle().take(VALUE).collect()
+}
 
 fn main() {
     let case = Case::from_args();
-    let record = case.record.clone();
+    let (record, trouble) = (case.record.clone(), case.trouble);
+    let answers = Arc::new(AtomicU64::new(0));
     let cache = |name: &'static str| {
-        let record = record.clone();
+        let (record, answers) = (record.clone(), answers.clone());
         let address = start_cache(move |request, stream| {
-            record.line(format!("{name} runs {}", request.id));
-            thread::sleep(Duration::from_millis(20));
-            let answer = cache_answer(Some(format!("value of {}", request.key).as_bytes()), "hit");
+            let value = value_of(&request.key);
+            let mut answer = cache_answer(Some(&value), "hit");
+            let number = answers.fetch_add(1, Ordering::Relaxed);
+            let spoilt = trouble && number % SPOILT == SPOILT - 1;
+            if spoilt {
+                // The stated length does not fit: everything else is as it should be.
+                let (stated, other) = (format!("${VALUE}\r\n"), format!("${}\r\n", VALUE - MISSING));
+                answer.splice(4..4 + stated.len(), other.into_bytes());
+            }
+            let what = if spoilt { "answers, spoilt: states less than it sends" } else { "answers" };
+            record.line(format!("{name} ran {} of {}, {what}", request.id, request.key));
             if stream.write_all(&answer).is_ok() { Then::Continue } else { Then::Close }
         });
         Endpoint::cache(name, address)
     };
     let mut servers = vec![cache("s-1"), cache("s-2"), cache("s-3")];
     servers.push(Endpoint::origin(start_origin(|request, stream| {
-        let _ = stream.write_all(&origin_answer(format!("value of {}", request.key).as_bytes()));
+        let _ = stream.write_all(&origin_answer(&value_of(&request.key)));
         Then::Continue
     })));
     let discovery = Discovery::start(servers.clone());
@@ -46,71 +60,33 @@
         mgmt: None,
     };
     let node = Node::start(&case, "n1", &config);
-    thread::sleep(Duration::from_secs(1));
-
-    // The crowd: a burst of silent connections each 250 ms; each stays for 200 ms.
-    let done = Arc::new(AtomicBool::new(false));
-    if case.trouble {
-        let (done, address, record) = (done.clone(), node.address, record.clone());
-        thread::spawn(move || {
-            while !done.load(Ordering::Relaxed) {
-                let burst: Vec<_> = (0..CROWD).filter_map(|_| TcpStream::connect(address).ok()).collect();
-                record.line(format!("the crowd has connected {} times", burst.len()));
-                thread::sleep(Duration::from_millis(200));
-                drop(burst);
-                thread::sleep(Duration::from_millis(50));
-            }
-        });
-    }
-    let breaks = Arc::new(Mutex::new(Vec::new()));
-    let counts = Arc::new(Mutex::new((0, 0, 0)));
-    let start = Instant::now();
-    let clients: Vec<_> = (0..4u64).map(|client| {
-        let (record, address, breaks, counts) = (record.clone(), node.address, breaks.clone(), counts.clone());
-        thread::spawn(move || {
-            let mut batch = 0u64;
-            while start.elapsed() < PLAY {
-                batch += 1;
-                thread::sleep(Duration::from_millis(7 + client));
-                let Some(mut input) = connect(address, Duration::from_secs(3)) else { continue };
-                let ids: Vec<String> = (0..BATCH as u64).map(|at| format!("{client:04x}{batch:08x}{at:04x}")).collect();
-                let bytes: Vec<u8> = ids.iter().enumerate()
-                    .flat_map(|(at, id)| get(&format!("{:016x}", 1 + at), id, "c=zone-lookup,t=acme,d=1500")).collect();
-                // One write of less than 1 KiB: the commands arrive together.
-                if input.stream.write_all(&bytes).is_err() {
-                    continue;
-                }
-                let answers: Vec<Answer> = ids.iter().map(|_| input.answer()).collect();
-                let whole = answers.iter().filter(|answer| !matches!(answer, Answer::Closed { .. } | Answer::Nothing)).count();
-                let mut counts = counts.lock().unwrap();
-                counts.0 += 1;
-                if whole == BATCH {
-                    counts.1 += 1;
-                    continue;
-                }
-                let told = format!(
-                    "client {client} sent {} to {} at once ({} bytes); {whole} answered, the first: {}; then: {}",
-                    ids[0], ids[BATCH - 1], bytes.len(), answers[0].name(), answers[whole].name()
-                );
-                record.line(&told);
-                if whole == 0 {
-                    // A new connection may be shut unread in a crowd.
-                    counts.2 += 1;
-                } else {
-                    breaks.lock().unwrap().push(told);
-                }
+    let mut breaks = Vec::new();
+    let (mut served, mut other) = (0, 0);
+    let mut client = None;
+    for number in 0..REQUESTS {
+        let (key, id) = (format!("{:016x}", 0x7f3a_9c21_0000_0000u64 + number % 40), format!("{number:016x}"));
+        let patience = Duration::from_secs(6);
+        let Some(mut input) = client.take().or_else(|| connect(node.address, patience)) else {
+            case.cannot_run("the node takes no connection");
+        };
+        let sent = input.stream.write_all(&get(&key, &id, "c=zone-lookup,t=acme,d=1500"));
+        record.line(format!("client sends {id} of {key}{}", if sent.is_ok() { "" } else { ", in vain" }));
+        let answer = input.answer();
+        record.line(format!("client is told of {id}: {}", answer.name()));
+        match &answer {
+            Answer::Served(value) if *value == value_of(&key) => served += 1,
+            Answer::Served(value) => {
+                breaks.push(format!("{id} was served whole with {} bytes, its value has {VALUE}", value.len()));
             }
-        })
-    }).collect();
-    for client in clients {
-        let _ = client.join();
+            _ => other += 1,
+        }
+        if !matches!(answer, Answer::Closed { .. } | Answer::Nothing) {
+            client = Some(input);
+        }
     }
-    done.store(true, Ordering::Relaxed);
-    let (batches, whole, unread) = *counts.lock().unwrap();
-    record.say(format!("{batches} batches of {BATCH}: {whole} answered whole, {unread} connections shut with no answer"));
-    let breaks = breaks.lock().unwrap().clone();
-    if batches < 100 {
-        case.cannot_run("too few batches");
+    record.say(format!("{REQUESTS} requests: {served} served, {other} with another end"));
+    if served < REQUESTS / 2 {
+        case.cannot_run("fewer than half of the requests were served");
     }
     case.finish(&breaks);
 }
--- a/review/9/case.rs
+++ b/review/9/case.rs
@@ -1,50 +1,39 @@
-//! Case 9: a planned restart while clients slowly read long values.
+//! Case 9: clients that send several commands at once to a node whose descriptors a crowd fills.
 
 #[path = "../stand-ins-2/common.rs"]
 mod common;
 
-use std::collections::HashMap;
-use std::io::{Read, Write};
+use std::io::Write;
+use std::net::TcpStream;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
 
 use common::*;
 
-/// 4 MiB, the longest value of the pages.
-const VALUE: usize = 4 * 1024 * 1024;
-const CLIENTS: u64 = 4;
-/// Reads that a client sends at once.
-const BATCH: usize = 4;
-/// A client reads so much, then rests: some 1.6 MB a second without a pause, 10 s for all its values.
-const PIECE: usize = 80_000;
-const REST: Duration = Duration::from_millis(50);
-/// Time from the first byte of every value to SIGTERM.
-const UNTIL_TERM: Duration = Duration::from_millis(300);
-/// SIGKILL "comes no sooner than the longest deadline (3 s at most) and 0.7 s more after SIGTERM".
-const KILL_AFTER: Duration = Duration::from_secs(15);
+/// Commands that a client sends at once.
+const BATCH: usize = 8;
+/// Connections of the crowd in a burst, which say nothing.
+const CROWD: usize = 150;
+const PLAY: Duration = Duration::from_secs(20);
 
 fn main() {
     let case = Case::from_args();
     let record = case.record.clone();
-    let value = Arc::new(vec![b'z'; VALUE]);
-    // What the caches ran, by request.
-    let ran: Arc<Mutex<HashMap<String, &'static str>>> = Arc::default();
     let cache = |name: &'static str| {
-        let (record, value, ran) = (record.clone(), value.clone(), ran.clone());
+        let record = record.clone();
         let address = start_cache(move |request, stream| {
-            ran.lock().unwrap().insert(request.id.clone(), name);
-            record.line(format!("{name} ran {} and answers {VALUE} bytes", request.id));
-            // The answer is given as fast as the node takes it.
-            let given = stream.write_all(&cache_answer(Some(&value), "hit"));
-            record.line(format!("{name} gave the answer of {} {}", request.id, if given.is_ok() { "whole" } else { "in part: the node ended the connection" }));
-            if given.is_ok() { Then::Continue } else { Then::Close }
+            record.line(format!("{name} runs {}", request.id));
+            thread::sleep(Duration::from_millis(20));
+            let answer = cache_answer(Some(format!("value of {}", request.key).as_bytes()), "hit");
+            if stream.write_all(&answer).is_ok() { Then::Continue } else { Then::Close }
         });
         Endpoint::cache(name, address)
     };
     let mut servers = vec![cache("s-1"), cache("s-2"), cache("s-3")];
-    servers.push(Endpoint::origin(start_origin(|_, stream| {
-        let _ = stream.write_all(&origin_answer(b"value"));
+    servers.push(Endpoint::origin(start_origin(|request, stream| {
+        let _ = stream.write_all(&origin_answer(format!("value of {}", request.key).as_bytes()));
         Then::Continue
     })));
     let discovery = Discovery::start(servers.clone());
@@ -56,87 +45,72 @@
         memory_mb: 64,
         mgmt: None,
     };
-    let mut node = Node::start(&case, "n1", &config);
-    thread::sleep(Duration::from_secs(2));
-    let breaks = Arc::new(Mutex::new(Vec::new()));
-    let begun = Arc::new(Mutex::new(0u64));
-    let clients: Vec<_> = (0..CLIENTS).map(|client| {
-        let (record, address, breaks, begun, ran) = (record.clone(), node.address, breaks.clone(), begun.clone(), ran.clone());
+    let node = Node::start(&case, "n1", &config);
+    thread::sleep(Duration::from_secs(1));
+
+    // The crowd: a burst of silent connections each 250 ms; each stays for 200 ms.
+    let done = Arc::new(AtomicBool::new(false));
+    if case.trouble {
+        let (done, address, record) = (done.clone(), node.address, record.clone());
         thread::spawn(move || {
-            // One after the other, so that a node that has just started refuses none.
-            thread::sleep(Duration::from_millis(100 * client));
-            let ids: Vec<String> = (0..BATCH).map(|at| format!("{client:012x}{at:04x}")).collect();
-            let Some(mut input) = connect(address, Duration::from_secs(3)) else { return 0 };
-            let facts = "c=zone-lookup,t=acme,d=1500";
-            let commands: Vec<u8> = ids.iter().enumerate()
-                .flat_map(|(at, id)| get(&format!("{:016x}", 0x51 + 16 * client + at as u64), id, facts)).collect();
-            if input.stream.write_all(&commands).is_err() {
-                return 0;
+            while !done.load(Ordering::Relaxed) {
+                let burst: Vec<_> = (0..CROWD).filter_map(|_| TcpStream::connect(address).ok()).collect();
+                record.line(format!("the crowd has connected {} times", burst.len()));
+                thread::sleep(Duration::from_millis(200));
+                drop(burst);
+                thread::sleep(Duration::from_millis(50));
             }
-            record.line(format!("client {client} sends {} to {} at once", ids[0], ids[BATCH - 1]));
-            let (mut piece, mut input_bytes) = (vec![0; PIECE], Vec::new());
-            let (start, mut total, mut answered, mut refused) = (Instant::now(), 0, 0, 0);
-            while answered + refused < BATCH {
-                match input.stream.read(&mut piece) {
-                    Ok(count) if count > 0 => {
-                        if total == 0 {
-                            *begun.lock().unwrap() += 1;
-                        }
-                        total += count;
-                        input_bytes.extend_from_slice(&piece[..count]);
-                    }
-                    _ => break,
+        });
+    }
+    let breaks = Arc::new(Mutex::new(Vec::new()));
+    let counts = Arc::new(Mutex::new((0, 0, 0)));
+    let start = Instant::now();
+    let clients: Vec<_> = (0..4u64).map(|client| {
+        let (record, address, breaks, counts) = (record.clone(), node.address, breaks.clone(), counts.clone());
+        thread::spawn(move || {
+            let mut batch = 0u64;
+            while start.elapsed() < PLAY {
+                batch += 1;
+                thread::sleep(Duration::from_millis(7 + client));
+                let Some(mut input) = connect(address, Duration::from_secs(3)) else { continue };
+                let ids: Vec<String> = (0..BATCH as u64).map(|at| format!("{client:04x}{batch:08x}{at:04x}")).collect();
+                let bytes: Vec<u8> = ids.iter().enumerate()
+                    .flat_map(|(at, id)| get(&format!("{:016x}", 1 + at), id, "c=zone-lookup,t=acme,d=1500")).collect();
+                // One write of less than 1 KiB: the commands arrive together.
+                if input.stream.write_all(&bytes).is_err() {
+                    continue;
                 }
-                loop {
-                    let Some(end) = input_bytes.windows(2).take(64).position(|pair| pair == b"\r\n") else { break };
-                    if input_bytes[0] != b'$' {
-                        refused += 1;
-                        input_bytes.drain(..end + 2);
-                    } else if input_bytes.len() >= end + 2 + VALUE + 2 {
-                        answered += 1;
-                        record.line(format!("client {client} has answer {} whole, {VALUE} bytes", answered + refused));
-                        input_bytes.drain(..end + 2 + VALUE + 2);
-                    } else {
-                        break;
-                    }
+                let answers: Vec<Answer> = ids.iter().map(|_| input.answer()).collect();
+                let whole = answers.iter().filter(|answer| !matches!(answer, Answer::Closed { .. } | Answer::Nothing)).count();
+                let mut counts = counts.lock().unwrap();
+                counts.0 += 1;
+                if whole == BATCH {
+                    counts.1 += 1;
+                    continue;
                 }
-                thread::sleep(REST);
-            }
-            record.line(format!("client {client} has read {total} bytes in {:?}: {answered} served, {refused} refused or failed", start.elapsed()));
-            for id in &ids[answered + refused..] {
-                let place = ran.lock().unwrap().get(id).copied();
-                if let Some(place) = place {
-                    breaks.lock().unwrap().push(format!("{id}, sent before SIGTERM and run by {place}, has no whole answer"));
+                let told = format!(
+                    "client {client} sent {} to {} at once ({} bytes); {whole} answered, the first: {}; then: {}",
+                    ids[0], ids[BATCH - 1], bytes.len(), answers[0].name(), answers[whole].name()
+                );
+                record.line(&told);
+                if whole == 0 {
+                    // A new connection may be shut unread in a crowd.
+                    counts.2 += 1;
+                } else {
+                    breaks.lock().unwrap().push(told);
                 }
             }
-            answered
         })
     }).collect();
-    let deadline = Instant::now() + Duration::from_secs(3);
-    while *begun.lock().unwrap() < CLIENTS {
-        if Instant::now() > deadline {
-            case.cannot_run("not every value has begun");
-        }
-        thread::sleep(Duration::from_millis(5));
-    }
-    thread::sleep(UNTIL_TERM);
-    if case.trouble {
-        record.line("SIGTERM");
-        node.signal("TERM");
-        let term = Instant::now();
-        while term.elapsed() < KILL_AFTER {
-            if let Some(status) = node.ended() {
-                record.say(format!("the node ended by itself {:.2} s after SIGTERM ({status})", term.elapsed().as_secs_f64()));
-                break;
-            }
-            thread::sleep(Duration::from_millis(5));
-        }
+    for client in clients {
+        let _ = client.join();
     }
-    let whole = clients.into_iter().filter_map(|client| client.join().ok()).sum::<usize>();
-    record.say(format!("{} values, {whole} read whole", CLIENTS as usize * BATCH));
+    done.store(true, Ordering::Relaxed);
+    let (batches, whole, unread) = *counts.lock().unwrap();
+    record.say(format!("{batches} batches of {BATCH}: {whole} answered whole, {unread} connections shut with no answer"));
     let breaks = breaks.lock().unwrap().clone();
-    if whole < CLIENTS as usize {
-        case.cannot_run("too few values were served");
+    if batches < 100 {
+        case.cannot_run("too few batches");
     }
     case.finish(&breaks);
 }
--- a/review/stand-ins-2/common.rs
+++ b/review/stand-ins-2/common.rs
@@ -121,6 +121,17 @@
     let _ = Command::new("/bin/sh").args(["-c", &format!("kill -{name} {pid}")]).stderr(Stdio::null()).status();
 }
 
+pub const SIGCONT: i32 = 18;
+pub const SIGSTOP: i32 = 19;
+
+/// Sends a signal without a shell, which takes milliseconds to start.
+pub fn signal_at_once(pid: u32, signal: i32) {
+    unsafe extern "C" {
+        fn kill(pid: i32, signal: i32) -> i32;
+    }
+    unsafe { kill(pid as i32, signal) };
+}
+
 pub fn unix_ms() -> u64 {
     SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |time| time.as_millis() as u64)
 }
