Server connections: bytes from before a command was written are not its answer

Cause: before a repeatable command was written on a reused connection, only the readiness that the runtime had last reported was looked at, which is as old as the begin of the turn; the rest of 15 ms ran by the clock, so that a connection counted as rested although nobody had looked at it since its answer. Evidence: a test that lets the second copy arrive and the rest end within one turn gets the copy on the code before ('first' instead of 'second').

Change: the driver records when the runtime last began to wait for events; what had arrived by then is known to the turn. The core prefers connections whose rest had ended by that time, and has every other one, new ones too, checked by a read of the socket right before the write. On the way of a hit this is one clock read a wait, and no call more where a connection has rested by the last poll.

Tests: bytes_that_arrived_before_a_command_was_written_are_not_its_answer (driver, fails before), connections_whose_rest_ended_after_the_last_poll_are_checked_and_used_last (core, fails before).

--- a/crates/stonevane-core/src/io.rs
+++ b/crates/stonevane-core/src/io.rs
@@ -146,8 +146,8 @@
         id: ConnId,
         /// The encoded request.
         bytes: Bytes,
-        /// Whether the driver first checks the socket itself for input or a close, because the request is not
-        /// idempotent.
+        /// Whether the driver first checks the socket itself for input or a close: because the request is not
+        /// idempotent, or because the driver has not looked for input since the end of the reuse delay.
         check_socket: bool,
     },
     /// Open a connection.
--- a/crates/stonevane-core/src/node/attempts.rs
+++ b/crates/stonevane-core/src/node/attempts.rs
@@ -74,7 +74,9 @@
             self.release_connection(id, server);
             return self.end_attempt(key, AttemptStatus::NotSent);
         };
+        let reuse_delay = self.connections.pool.reuse_delay();
         let Some(conn) = self.connections.pool.get_mut(id) else { return };
+        let rested_at = conn.idle_since + reuse_delay;
         // A list that drains the server may have arrived during the process pause without having been read
         // yet.
         if let Some(until) = self.catching_up_until {
@@ -91,7 +93,8 @@
         if let Some(bytes) = conn.protocol.encode(&entry.command, time_left_ms, conn.address) {
             conn.state = ConnState::Writing;
             let repeatable = entry.command.rules.idempotency == Idempotency::Idempotent;
-            let check_socket = !is_first && !repeatable;
+            let was_seen_rested = !is_first && rested_at <= self.polled_at;
+            let check_socket = !repeatable || !was_seen_rested;
             self.out.push_back(Output::WriteRequest { id, bytes, check_socket });
         } else {
             conn.state = ConnState::Reading;
--- a/crates/stonevane-core/src/node/mod.rs
+++ b/crates/stonevane-core/src/node/mod.rs
@@ -66,6 +66,8 @@
     /// Injected faults; none outside the simulator.
     faults: F,
     now: Micros,
+    /// Time up to which all input that had arrived is known to the driver; see [`Core::on_poll`].
+    polled_at: Micros,
     deployment: Deployment,
     policy: PolicyRunner,
     timers: Timers,
@@ -104,6 +106,7 @@
         let mut core = Core {
             faults,
             now,
+            polled_at: 0,
             policy: PolicyRunner::new(&config),
             timers: Timers::default(),
             catching_up_until: None,
@@ -147,6 +150,13 @@
         next.map(|next| next.max(self.catching_up_until.unwrap_or(0)))
     }
 
+    /// Tells the core that the driver has asked the operating system at the time `at` which connections have
+    /// input. Input that arrived on a connection before `at` is either passed to the core already or will be
+    /// passed to it before a request is written to that connection. Later input is unknown to the driver.
+    pub fn on_poll(&mut self, at: Micros) {
+        self.polled_at = at;
+    }
+
     /// Handles an input and appends the resulting outputs. Time never runs backwards: an earlier `now` than
     /// that of a previous call counts as the time of that call.
     pub fn handle(&mut self, now: Micros, input: Input<'_>, outputs: &mut Outputs) {
--- a/crates/stonevane-core/src/node/server_io.rs
+++ b/crates/stonevane-core/src/node/server_io.rs
@@ -36,7 +36,8 @@
         key: AttemptKey,
     ) -> Option<AcquiredConnection> {
         let mut expired = Vec::new();
-        let idle = self.connections.pool.take_idle(target.server, key, self.now, &mut expired);
+        let idle =
+            self.connections.pool.take_idle(target.server, key, self.now, self.polled_at, &mut expired);
         for id in expired {
             self.close_connection(id, CloseReason::Idle);
         }
--- a/crates/stonevane-core/src/servers/pool.rs
+++ b/crates/stonevane-core/src/servers/pool.rs
@@ -116,19 +116,28 @@
         self.conns.insert(id, conn);
     }
 
+    /// Time after a reply during which a connection is not reused.
+    pub fn reuse_delay(&self) -> Micros {
+        self.reuse_delay
+    }
+
     /// Assigns an idle connection to an attempt and returns it: the most recently used one whose reuse delay
-    /// has passed. Expired connections found during the search are removed from the pool and added to
-    /// `expired`.
+    /// had passed at `polled_at`, the last time that the driver looked for input; only if there is none, one
+    /// whose reuse delay has passed since. Expired connections found during the search are removed from the
+    /// pool and added to `expired`.
     pub fn take_idle(
         &mut self,
         server: ServerId,
         attempt: AttemptKey,
         now: Micros,
+        polled_at: Micros,
         expired: &mut Vec<ConnId>,
     ) -> Option<ConnId> {
         loop {
             let idle = self.idle.get_mut(&server)?;
-            let reusable = idle.partition_point(|(since, _)| since + self.reuse_delay <= now);
+            let rested_by = |time| idle.partition_point(|(since, _)| since + self.reuse_delay <= time);
+            let seen_rested = rested_by(polled_at.min(now));
+            let reusable = if seen_rested > 0 { seen_rested } else { rested_by(now) };
             let (since, id) = idle.remove(reusable.checked_sub(1)?)?;
             match self.conns.get_mut(&id) {
                 Some(conn) if now < since + self.idle_limit => {
--- a/crates/stonevane-core/tests/rest.rs
+++ b/crates/stonevane-core/tests/rest.rs
@@ -160,3 +160,47 @@
     harness.reply_to_all();
     assert_eq!(harness.served, served + 10);
 }
+
+/// Guards against a connection that counts as rested by the clock alone: while a turn lasts, input is unknown
+/// (`review/7`).
+#[test]
+fn connections_whose_rest_ended_after_the_last_poll_are_checked_and_used_last() {
+    let rest = Duration::from_micros(REST_US);
+    let mut core = core_with(false, 64, rest, |_| {});
+    let client = core.next_connection_id();
+    let mut outputs = Outputs::new();
+    core.handle(START, Input::Accepted(client), &mut outputs);
+    // Sends a request at a time and returns the server connection, and whether its socket is checked.
+    let send = |core: &mut Core, now: u64, id: &str| {
+        let mut outputs = Outputs::new();
+        core.handle(now, Input::Bytes(client, &get(id, id)), &mut outputs);
+        while let Some(output) = outputs.pop_front() {
+            match output {
+                Output::Open(id, _) => core.handle(now, Input::Opened(id), &mut outputs),
+                Output::WriteRequest { id, check_socket, .. } => {
+                    core.handle(now, Input::Flushed(id), &mut outputs);
+                    return (id, check_socket);
+                }
+                _ => {}
+            }
+        }
+        panic!("no request was written");
+    };
+    let reply = |core: &mut Core, now: u64, conn: ConnId| {
+        let mut outputs = Outputs::new();
+        core.handle(now, Input::Bytes(conn, HIT), &mut outputs);
+        core.handle(now, Input::Flushed(client), &mut outputs);
+    };
+    let (older, is_checked) = send(&mut core, START, "a");
+    assert!(is_checked, "a new connection is checked");
+    reply(&mut core, START, older);
+    let (newer, _) = send(&mut core, START + 1_000, "b");
+    reply(&mut core, START + 1_000, newer);
+    assert_ne!(older, newer);
+    // Both have rested by the clock, the older one by the last poll too.
+    core.on_poll(START + REST_US);
+    let now = START + REST_US + 50_000;
+    assert_eq!(send(&mut core, now, "c"), (older, false));
+    reply(&mut core, now, older);
+    assert_eq!(send(&mut core, now, "d"), (newer, true));
+}
--- a/crates/stonevane-node/src/cli.rs
+++ b/crates/stonevane-node/src/cli.rs
@@ -13,7 +13,7 @@
 use crate::config::{Config, ConfigError, RegionError};
 use crate::log::log;
 use crate::membership::{MembershipConfig, PeersError};
-use crate::process;
+use crate::process::{self, ProcessTime};
 use crate::store::OriginStore;
 
 /// Exit code if the configuration is unusable or the node cannot start.
@@ -117,9 +117,13 @@
     let membership = membership_config(&config)?;
     let store = config.operator.store.as_ref().map(|store| open_store(store, config.seed)).transpose()?;
     let address = config.listen;
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let time = ProcessTime::start();
+    let mut runtime = tokio::runtime::Builder::new_current_thread();
+    time.last_poll.record(&mut runtime, time.clock);
     runtime
-        .and_then(|runtime| runtime.block_on(process::run(config, store, membership)))
+        .enable_all()
+        .build()
+        .and_then(|runtime| runtime.block_on(process::run(config, time, store, membership)))
         .map_err(|source| StartError::Listen { address, source })
 }
 
--- a/crates/stonevane-node/src/driver/mod.rs
+++ b/crates/stonevane-node/src/driver/mod.rs
@@ -32,6 +32,7 @@
 use crate::exclusions::Exclusions;
 use crate::log::log;
 use crate::membership::Membership;
+use crate::poll_time::PollTime;
 use crate::store::OriginStore;
 
 use listener::ListenerState;
@@ -89,6 +90,7 @@
 pub struct Driver {
     state: Mutex<State>,
     clock: Clock,
+    last_poll: PollTime,
     exclusions: Exclusions,
     /// Store of record that replaces the origin, if the operator configures one.
     store: Option<Arc<OriginStore>>,
@@ -105,6 +107,7 @@
     pub fn new(
         core: Core,
         clock: Clock,
+        last_poll: PollTime,
         exclusions: Exclusions,
         store: Option<Arc<OriginStore>>,
         membership: Option<Arc<Membership>>,
@@ -121,6 +124,7 @@
         let driver = Arc::new(Driver {
             state: Mutex::new(state),
             clock,
+            last_poll,
             exclusions,
             store,
             membership,
@@ -188,6 +192,7 @@
     }
 
     fn handle(&self, state: &mut State, input: Input<'_>) {
+        state.core.on_poll(self.last_poll.last());
         state.core.handle(self.clock.now(), input, &mut state.outputs);
     }
 
--- a/crates/stonevane-node/src/driver/reading.rs
+++ b/crates/stonevane-node/src/driver/reading.rs
@@ -128,6 +128,7 @@
                 (Input::Closed(id), ReadEvent::Closed)
             }
         };
+        state.core.on_poll(self.last_poll.last());
         state.core.handle(self.clock.now(), input, &mut state.outputs);
         event
     }
--- a/crates/stonevane-node/src/driver/tests.rs
+++ b/crates/stonevane-node/src/driver/tests.rs
@@ -5,11 +5,15 @@
 
 use stonevane_codec::resp::encode_command;
 use stonevane_config::operator;
-use stonevane_core::{CoreConfig, EndpointList};
+use stonevane_core::{CoreConfig, Endpoint, EndpointList};
 use stonevane_policy::settings::Deployment;
 use stonevane_policy::{RequestClass, Settings, Tenant};
 
 fn core(clock: Clock) -> Core {
+    core_with(clock, EndpointList::default())
+}
+
+fn core_with(clock: Clock, cached_list: EndpointList) -> Core {
     let list = |name: &str| vec![name.to_owned()];
     let settings = Settings {
         classes: vec![RequestClass::default()],
@@ -32,7 +36,7 @@
         seed: 1,
         max_sockets: 64,
         memory_mb: 16,
-        cached_list: EndpointList::default(),
+        cached_list,
         discovery: SocketAddr::from(([127, 0, 0, 1], 9)),
         clients: operator::Clients::default(),
         servers: operator::Servers::default(),
@@ -46,13 +50,101 @@
     Core::new(clock.now(), config)
 }
 
+/// A list of one cache server.
+fn list_of_cache(address: SocketAddr) -> EndpointList {
+    let endpoint = Endpoint {
+        name: "s-1".into(),
+        address: address.to_string(),
+        zone: "a".into(),
+        kind: "cache".into(),
+        group: 0,
+        status: "active".into(),
+        weight: 1.0,
+        since_ms: 0,
+    };
+    EndpointList { version: 1, snapshot: true, endpoints: vec![endpoint] }
+}
+
+/// A cache server whose single steps are made by the test.
+struct CacheStub {
+    listener: std::net::TcpListener,
+    connections: Vec<std::net::TcpStream>,
+}
+
+impl CacheStub {
+    fn start() -> CacheStub {
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+        listener.set_nonblocking(true).unwrap();
+        CacheStub { listener, connections: Vec::new() }
+    }
+
+    /// Answers every request that has arrived with the value.
+    fn answer_requests(&mut self, value: &str) {
+        while let Ok((connection, _)) = self.listener.accept() {
+            connection.set_nonblocking(true).unwrap();
+            self.connections.push(connection);
+        }
+        for connection in &mut self.connections {
+            if connection.read(&mut [0; 4_096]).is_ok_and(|count| count > 0) {
+                connection.write_all(&cache_reply(value)).unwrap();
+            }
+        }
+    }
+}
+
+fn cache_reply(value: &str) -> Vec<u8> {
+    format!("*3\r\n${}\r\n{value}\r\n$3\r\nhit\r\n$0\r\n\r\n", value.len()).into_bytes()
+}
+
+/// Lets the runtime and the cache run until the client has received an answer.
+async fn next_answer(client: &mut std::net::TcpStream, cache: &mut CacheStub, value: &str) -> String {
+    let mut answer = [0; 256];
+    loop {
+        cache.answer_requests(value);
+        if let Ok(count) = client.read(&mut answer) {
+            return String::from_utf8_lossy(&answer[..count]).into_owned();
+        }
+        tokio::task::yield_now().await;
+    }
+}
+
+/// Guards against a second copy of an answer that arrives during a long turn and is taken for the answer to
+/// the command that is written next in the same turn (`review/7`).
+#[test]
+fn bytes_that_arrived_before_a_command_was_written_are_not_its_answer() {
+    let clock = Clock::start();
+    let last_poll = PollTime::default();
+    let mut runtime = tokio::runtime::Builder::new_current_thread();
+    last_poll.record(&mut runtime, clock);
+    runtime.enable_all().build().unwrap().block_on(async {
+        let mut cache = CacheStub::start();
+        let core = core_with(clock, list_of_cache(cache.listener.local_addr().unwrap()));
+        let driver = Driver::new(core, clock, last_poll, Exclusions::new(None), None, None);
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let mut client = std::net::TcpStream::connect(listener.local_addr().unwrap()).unwrap();
+        client.set_nonblocking(true).unwrap();
+        let accepting = tokio::spawn(driver.clone().accept_clients(listener));
+        driver.input(Input::Wake);
+        let command = |id: &[u8]| encode_command(&[b"OBJ.GET", id, id, b"c=read,t=all,d=900"]);
+        client.write_all(&command(b"0001")).unwrap();
+        assert_eq!(next_answer(&mut client, &mut cache, "first").await, "$5\r\nfirst\r\n");
+        let client_id = *driver.lock().connections.keys().min().unwrap();
+        // From here to the next command the runtime does not look at any socket.
+        cache.connections[0].write_all(&cache_reply("first")).unwrap();
+        std::thread::sleep(operator::Servers::default().rest);
+        driver.input(Input::Bytes(client_id, &command(b"0002")));
+        assert_eq!(next_answer(&mut client, &mut cache, "second").await, "$6\r\nsecond\r\n");
+        accepting.abort();
+    });
+}
+
 #[test]
 fn an_idle_client_sees_the_close_in_the_same_turn_that_decides_it() {
     // Guards against clients that write to a connection whose close is deferred to the runtime's next turn.
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
     runtime.block_on(async {
         let clock = Clock::start();
-        let driver = Driver::new(core(clock), clock, Exclusions::new(None), None, None);
+        let driver = Driver::new(core(clock), clock, PollTime::default(), Exclusions::new(None), None, None);
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let mut client = std::net::TcpStream::connect(listener.local_addr().unwrap()).unwrap();
         let accepting = tokio::spawn(driver.clone().accept_clients(listener));
@@ -88,7 +180,7 @@
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
     runtime.block_on(async {
         let clock = Clock::start();
-        let driver = Driver::new(core(clock), clock, Exclusions::new(None), None, None);
+        let driver = Driver::new(core(clock), clock, PollTime::default(), Exclusions::new(None), None, None);
         let taken = || {
             let state = driver.lock();
             state.core.class_counters().map(|(_, counts)| counts.accepted as usize).sum::<usize>()
--- a/crates/stonevane-node/src/lib.rs
+++ b/crates/stonevane-node/src/lib.rs
@@ -15,6 +15,7 @@
 mod log;
 mod management;
 mod membership;
+mod poll_time;
 mod process;
 mod signals;
 mod store;
--- a/crates/stonevane-node/src/process.rs
+++ b/crates/stonevane-node/src/process.rs
@@ -16,24 +16,41 @@
 use crate::log::log;
 use crate::management;
 use crate::membership::{Membership, MembershipConfig};
+use crate::poll_time::PollTime;
 use crate::signals::{Reloader, Signals, Termination};
 use crate::store::OriginStore;
 
 /// Environment variable that, if set to 1, logs each step of each request and each closed connection.
 const TRACE_VARIABLE: &str = "SPARDEAL_TRACE";
 
+/// The process's clock and the time of its runtime's last poll.
+pub struct ProcessTime {
+    /// The clock.
+    pub clock: Clock,
+    /// The time of the last poll by `clock`.
+    pub last_poll: PollTime,
+}
+
+impl ProcessTime {
+    /// Starts the clock.
+    pub fn start() -> ProcessTime {
+        ProcessTime { clock: Clock::start(), last_poll: PollTime::default() }
+    }
+}
+
 /// Runs a node until it has drained.
 ///
 /// # Errors
 /// A socket cannot be opened or a signal handler cannot be installed.
 pub async fn run(
     mut config: Config,
+    time: ProcessTime,
     store: Option<Arc<OriginStore>>,
     membership: Option<MembershipConfig>,
 ) -> Result<()> {
     let tmpdir = temporary_folder();
     let exclusions = Exclusions::new(tmpdir.clone());
-    let clock = Clock::start();
+    let ProcessTime { clock, last_poll } = time;
     let signals = Signals::install()?;
     let inherited = config.inherited.take();
     let inherits_listener = inherited.is_some();
@@ -51,7 +68,7 @@
     let core_config = core_config(config, store.as_deref(), sockets_in_use, excluded, inherits_listener);
     let mut core = Core::new(clock.now(), core_config);
     core.trace_requests(std::env::var_os(TRACE_VARIABLE).is_some_and(|value| value == "1"));
-    let driver = Driver::new(core, clock, exclusions, store.clone(), membership.clone());
+    let driver = Driver::new(core, clock, last_poll, exclusions, store.clone(), membership.clone());
 
     let handover_folder = tmpdir.filter(|_| inherits_listener);
     let handover = handover_folder.and_then(|tmpdir| join_handover(&tmpdir, clock, &driver));
