Streamed values: the last byte is held back until the end of the reply is known

Cause: a value of more than 64 KiB is passed on as it comes, and its last stated byte and line end went out before the bytes behind it were known; that no end of a reply followed only kept the connection from being used again.

Change: a piece of a stream is a part, the end, or malformed. The last byte stays until the rest of the reply behind the value has been parsed; where it is none, the value has broken off like any other, which the client can tell. This also holds for a stated length that is too large and is filled up by a second copy. The origin's values end with their stated length as before: HTTP has no end behind a body.

--- a/crates/stonevane-core/src/node/streaming.rs
+++ b/crates/stonevane-core/src/node/streaming.rs
@@ -70,33 +70,56 @@
 
     /// Forwards a piece of a streamed value to its client.
     pub(super) fn forward_piece(&mut self, id: ConnId, piece: StreamPiece) {
-        let StreamPiece { bytes, is_last, reply_end } = piece;
+        match piece {
+            StreamPiece::Part(bytes) => self.forward_part(id, bytes),
+            StreamPiece::End { bytes, reusable } => self.forward_end(id, bytes, reusable),
+            StreamPiece::Malformed => {
+                let target = self.connections.pool.get(id).and_then(|conn| conn.stream_target);
+                self.close_server_connection(id, CloseReason::Malformed);
+                if let Some(target) = target {
+                    self.on_stream_broken(target);
+                }
+            }
+        }
+    }
+
+    fn forward_part(&mut self, id: ConnId, bytes: Bytes) {
+        let target = self.connections.pool.get(id).and_then(|conn| conn.stream_target);
+        let has_space = target.is_none_or(|target| self.push_piece(target, bytes, false));
+        if let Some(conn) = self.connections.pool.get_mut(id) {
+            conn.deadline = has_space.then_some(self.now + STREAM_STALL_TIMEOUT);
+        }
+        self.arm_connection(id);
+        if let Some(target) = target {
+            self.process_client(target.client);
+        }
+    }
+
+    fn forward_end(&mut self, id: ConnId, bytes: Bytes, reusable: bool) {
         let Some(conn) = self.connections.pool.get_mut(id) else { return };
-        let target = conn.stream_target;
+        let target = conn.stream_target.take();
         let server = conn.server;
-        let has_space = target.is_none_or(|target| {
-            let session = self.connections.clients.sessions.get_mut(&target.client);
-            session.is_none_or(|session| session.push_piece(target.slot, bytes, is_last))
-        });
-        // The rest of the reply after the value takes no space in the client's buffer.
-        conn.deadline = (has_space || is_last).then_some(self.now + STREAM_STALL_TIMEOUT);
-        if is_last {
-            conn.stream_target = None;
+        conn.deadline = None;
+        if let Some(target) = target {
+            self.push_piece(target, bytes, true);
         }
-        self.arm_connection(id);
-        if let Some(reusable) = reply_end {
-            self.connections.pool.on_reply(id, false);
-            if reusable {
-                self.release_connection(id, server);
-            } else {
-                self.close_server_connection(id, CloseReason::ReplyEndsConnection);
-            }
+        self.connections.pool.on_reply(id, false);
+        if reusable {
+            self.release_connection(id, server);
+        } else {
+            self.close_server_connection(id, CloseReason::ReplyEndsConnection);
         }
         if let Some(target) = target {
             self.process_client(target.client);
         }
     }
 
+    /// Adds a piece to a client's answer. Returns whether the answer has space for more.
+    fn push_piece(&mut self, target: StreamTarget, bytes: Bytes, is_last: bool) -> bool {
+        let session = self.connections.clients.sessions.get_mut(&target.client);
+        session.is_none_or(|session| session.push_piece(target.slot, bytes, is_last))
+    }
+
     /// Handles a streamed value that broke off. If the client may have received a part of it, its connection
     /// is closed, since no error can follow a partial value. Otherwise the client gets an error.
     pub(super) fn on_stream_broken(&mut self, target: StreamTarget) {
--- a/crates/stonevane-core/src/servers/conn.rs
+++ b/crates/stonevane-core/src/servers/conn.rs
@@ -75,12 +75,17 @@
 }
 
 /// A piece of a streamed value.
-pub struct StreamPiece {
-    pub bytes: Bytes,
-    /// Whether it is the last piece of the value.
-    pub is_last: bool,
-    /// Whether the connection can be used again; `None` until the complete reply has arrived.
-    pub reply_end: Option<bool>,
+pub enum StreamPiece {
+    /// A piece that is not the last one. It may be empty.
+    Part(Bytes),
+    /// The last piece, once the complete reply has arrived.
+    End {
+        bytes: Bytes,
+        /// Whether the connection can be used again.
+        reusable: bool,
+    },
+    /// What follows the value is not the end of a reply, so the stated length of the value is wrong.
+    Malformed,
 }
 
 /// Result of decoding received bytes.
@@ -143,7 +148,7 @@
     pub reading_paused: bool,
     /// Destination of the value that is being streamed.
     pub stream_target: Option<StreamTarget>,
-    /// Bytes of the streamed value that have not arrived yet.
+    /// Bytes of the streamed value that have not been forwarded yet.
     stream_remaining: usize,
     /// Whether the connection can be used after the streamed reply.
     reusable_after_stream: bool,
@@ -305,34 +310,33 @@
         self.reservation.take()
     }
 
-    /// Removes and returns the received part of the streamed value. After the value, checks the end of the
-    /// reply.
+    /// Removes and returns the received part of the streamed value. Its last byte is held back until the end of
+    /// the reply behind it has arrived: only that end shows that the value is complete.
     pub fn next_piece(&mut self) -> StreamPiece {
-        let before = self.stream_remaining;
-        let bytes = self.buffer.split_to(self.stream_remaining.min(self.buffer.len())).freeze();
-        self.stream_remaining -= bytes.len();
-        if self.stream_remaining > 0 {
-            return StreamPiece { bytes, is_last: false, reply_end: None };
-        }
-        let ends_cleanly = match self.protocol {
-            Protocol::Cache => match resp::served_reply_rest_length(&self.buffer) {
-                Ok(None) => None,
-                Ok(Some(end)) => Some(end == self.buffer.len()),
-                // The value is still complete.
-                Err(_) => Some(false),
-            },
-            Protocol::Origin | Protocol::Store => Some(self.buffer.is_empty()),
+        let Some(rest) = self.buffer.get(self.stream_remaining..) else {
+            return StreamPiece::Part(self.take_streamed(self.buffer.len()));
         };
-        if ends_cleanly.is_some() {
-            self.buffer = BytesMut::new();
-        }
-        StreamPiece {
-            bytes,
-            is_last: before > 0,
-            reply_end: ends_cleanly.map(|clean| clean && self.reusable_after_stream),
+        let rest_length = match self.protocol {
+            Protocol::Cache => resp::served_reply_rest_length(rest),
+            Protocol::Origin | Protocol::Store => Ok(Some(0)),
+        };
+        match rest_length {
+            Err(_) => StreamPiece::Malformed,
+            Ok(None) => StreamPiece::Part(self.take_streamed(self.stream_remaining.saturating_sub(1))),
+            Ok(Some(length)) => {
+                let reusable = self.reusable_after_stream && rest.len() == length;
+                let bytes = self.take_streamed(self.stream_remaining);
+                self.buffer = BytesMut::new();
+                StreamPiece::End { bytes, reusable }
+            }
         }
     }
 
+    fn take_streamed(&mut self, length: usize) -> Bytes {
+        self.stream_remaining -= length;
+        self.buffer.split_to(length).freeze()
+    }
+
     /// Returns the memory that must be reserved before more of the reply is read, so that replies together stay
     /// within the memory budget. `max_value` is the maximum length of a buffered value, in bytes.
     pub fn memory_demand(&mut self, max_value: usize) -> MemoryDemand {
--- a/crates/stonevane-core/tests/passage.rs
+++ b/crates/stonevane-core/tests/passage.rs
@@ -267,3 +267,29 @@
     harness.feed(Input::Wake);
     assert!(harness.closed.contains(&conn) && harness.closed.contains(&harness.client));
 }
+
+/// Guards against a value that is served as a whole one though its stated length is too small (`review/8`).
+#[test]
+fn the_end_of_a_value_is_held_back_until_the_end_of_its_reply_has_arrived() {
+    let long = value(200_000);
+    let head_length = "*3\r\n$200000\r\n".len();
+    let whole = answer(&long);
+    let mut harness = Harness::new();
+    let conn = harness.send_requests(&["aa"])[0];
+    harness.receive(conn, &whole[..head_length + long.len()], &mut std::iter::empty());
+    let last_byte = expected_answer(&long).len() - b"\r\n".len() - 1;
+    assert_eq!(harness.written.len(), last_byte, "all but the last byte and the line end");
+    harness.receive(conn, &whole[head_length + long.len()..], &mut std::iter::empty());
+    assert!(harness.written == expected_answer(&long));
+    harness.written.clear();
+    // The reply states 180,000 bytes and brings 200,000, in reads of any size.
+    let spoilt = [b"*3\r\n$180000\r\n", &long[..], b"\r\n$3\r\nhit\r\n$-1\r\n"].concat();
+    for read_size in [1_000, 65_536] {
+        let mut harness = Harness::new();
+        let conn = harness.send_requests(&["aa"])[0];
+        harness.receive(conn, &spoilt, &mut std::iter::repeat(read_size));
+        let written = harness.written.len();
+        assert!(written < "$180000\r\n".len() + 180_000, "{written} bytes in reads of {read_size}");
+        assert!(harness.closed.contains(&harness.client) && harness.closed.contains(&conn));
+    }
+}
