Streamed values: nothing runs whose answer a break in front of it could take along

Cause: a session went on taking commands while a long value was at its front, and began to write that value although requests behind it had been forwarded; a break closes the connection with every answer behind.

Change: while an answer can still break off, the session takes no further command. A long value with commands behind it is buffered whole, within the memory budget, before its first byte is written; if it breaks off, its request alone fails. Commands at once go on running at the same time.

Tests: a_value_that_breaks_off_takes_no_answer_of_a_later_command_along and a_command_behind_a_value_that_is_being_written_waits_for_its_end fail before.

--- a/crates/stonevane-core/src/clients/mod.rs
+++ b/crates/stonevane-core/src/clients/mod.rs
@@ -16,7 +16,7 @@
 
 pub use resp::{ClientCommand, decode, encode};
 pub use session::{Evictability, EvictionClass, Session, SessionTimeout};
-pub use slot::{Slot, StreamedAnswer};
+pub use slot::{Slot, StreamStart, StreamedAnswer};
 
 /// Time limits on client connections. Each expires at a fixed time that is not extended by a slow trickle of
 /// bytes.
--- a/crates/stonevane-core/src/clients/session.rs
+++ b/crates/stonevane-core/src/clients/session.rs
@@ -8,7 +8,7 @@
 
 use super::ClientTimeouts;
 use super::coalesced_write::CoalescedWrite;
-use super::slot::{NextPiece, Slot, StreamedAnswer};
+use super::slot::{NextPiece, Slot, StreamStart, StreamedAnswer};
 use crate::memory::{MemoryReservation, UNRESERVED_BYTES};
 use crate::reply::ConnId;
 use crate::timers::ConnectionTimer;
@@ -139,12 +139,14 @@
         }
     }
 
-    /// Whether another request is accepted now.
+    /// Whether another request is accepted now. None is accepted behind an answer that can break off: the
+    /// request would run, and its answer would be lost with the connection.
     fn accepts_request(&self, memory: usize) -> bool {
         !self.input_closed
             && !self.half_closed
             && self.pending_write.is_none()
             && self.slots.len() < self.pipeline_limit(memory)
+            && !self.slots.iter().any(Slot::can_break_off)
     }
 
     /// Returns how many bytes may be read now.
@@ -264,6 +266,7 @@
         conn: ConnId,
         class_slot: usize,
         head: Bytes,
+        start: StreamStart,
         reservation: Option<MemoryReservation>,
     ) -> bool {
         let Some(entry) = self.slot_index(slot).and_then(|index| self.slots.get_mut(index)) else {
@@ -271,10 +274,15 @@
         };
         let Slot::Pending { id, .. } = entry else { return false };
         let id = std::mem::take(id);
-        *entry = Slot::Streaming(StreamedAnswer::new(conn, id, class_slot, head, reservation));
+        *entry = Slot::Streaming(StreamedAnswer::new(conn, id, class_slot, head, start, reservation));
         true
     }
 
+    /// Returns whether a later command of the connection has a slot.
+    pub fn has_slots_behind(&self, slot: u64) -> bool {
+        slot + 1 < self.next_slot()
+    }
+
     fn stream_mut(&mut self, slot: u64) -> Option<&mut StreamedAnswer> {
         let index = self.slot_index(slot)?;
         match self.slots.get_mut(index)? {
--- a/crates/stonevane-core/src/clients/slot.rs
+++ b/crates/stonevane-core/src/clients/slot.rs
@@ -2,12 +2,12 @@
 
 use std::collections::VecDeque;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use stonevane_policy::RequestId;
 
 use crate::memory::MemoryReservation;
 use crate::reply::ConnId;
-use crate::servers::STREAM_BUFFER;
+use crate::servers::{STREAM_BUFFER, STREAM_CHUNK_BYTES};
 
 /// Slot for the answer of one command.
 #[derive(Debug)]
@@ -25,6 +25,23 @@
     Streaming(StreamedAnswer),
 }
 
+impl Slot {
+    /// Whether the answer can still break off after a part of it has been written. The client's connection is
+    /// then closed, and with it all answers behind this one are lost.
+    pub fn can_break_off(&self) -> bool {
+        matches!(self, Slot::Streaming(stream) if !stream.complete)
+    }
+}
+
+/// When the pieces of a streamed answer are written.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum StreamStart {
+    /// As they arrive.
+    Immediate,
+    /// Once the value, of this many bytes, is complete: answers behind it must not be lost with it.
+    Complete(usize),
+}
+
 /// An answer whose value is forwarded as it arrives.
 #[derive(Debug)]
 pub struct StreamedAnswer {
@@ -36,6 +53,8 @@
     pub class_slot: usize,
     /// Pieces that have arrived and have not been handed out for writing.
     pieces: VecDeque<Bytes>,
+    /// The received part of a value that is written only once it is complete.
+    withheld: Option<BytesMut>,
     /// Number of bytes that have arrived and are not completely written.
     buffered_bytes: usize,
     /// Whether any piece has been handed out for writing.
@@ -64,12 +83,18 @@
         id: Bytes,
         class_slot: usize,
         head: Bytes,
+        start: StreamStart,
         reservation: Option<MemoryReservation>,
     ) -> StreamedAnswer {
+        let withheld = match start {
+            StreamStart::Immediate => None,
+            StreamStart::Complete(length) => Some(BytesMut::with_capacity(length)),
+        };
         StreamedAnswer {
             conn,
             id,
             class_slot,
+            withheld,
             buffered_bytes: head.len(),
             pieces: VecDeque::from([head]),
             started: false,
@@ -82,17 +107,32 @@
     /// Appends a piece that has arrived. After the last one, the line ending of the bulk string is appended.
     pub fn push(&mut self, piece: Bytes, last: bool) {
         self.buffered_bytes += piece.len();
-        if !piece.is_empty() {
+        if let Some(withheld) = &mut self.withheld {
+            withheld.extend_from_slice(&piece);
+        } else if !piece.is_empty() {
             self.pieces.push_back(piece);
         }
         if last {
+            self.release_withheld();
             self.pieces.push_back(Bytes::from_static(b"\r\n"));
             self.complete = true;
         }
     }
 
+    /// Hands out a value that is complete, in pieces of which each can be written within the write timeout.
+    fn release_withheld(&mut self) {
+        let Some(withheld) = self.withheld.take() else { return };
+        let mut value = withheld.freeze();
+        while !value.is_empty() {
+            self.pieces.push_back(value.split_to(value.len().min(STREAM_CHUNK_BYTES)));
+        }
+    }
+
     /// Takes the next piece for writing.
     pub fn next_piece(&mut self) -> NextPiece {
+        if self.withheld.is_some() {
+            return NextPiece::Awaited;
+        }
         match self.pieces.pop_front() {
             Some(piece) => {
                 self.started = true;
@@ -108,9 +148,10 @@
         self.buffered_bytes -= bytes.min(self.buffered_bytes);
     }
 
-    /// Returns whether less than half of [`STREAM_BUFFER`] is in use, so that another piece may be read.
+    /// Returns whether another piece may be read: less than half of [`STREAM_BUFFER`] is in use, or memory for
+    /// the complete value is reserved.
     pub fn has_space(&self) -> bool {
-        self.buffered_bytes < STREAM_BUFFER / 2
+        self.withheld.is_some() || self.buffered_bytes < STREAM_BUFFER / 2
     }
 
     /// Returns whether the client may have received a part of the answer.
--- a/crates/stonevane-core/src/node/server_io.rs
+++ b/crates/stonevane-core/src/node/server_io.rs
@@ -154,7 +154,7 @@
 
     /// Fails the request of a reply whose value does not fit into the memory that is free. The server has run
     /// the request.
-    fn on_reply_without_memory(&mut self, id: ConnId) {
+    pub(super) fn on_reply_without_memory(&mut self, id: ConnId) {
         let key = self.connections.pool.get(id).and_then(|conn| conn.attempt);
         self.close_server_connection(id, CloseReason::ReplyEndsConnection);
         if let Some(key) = key {
--- a/crates/stonevane-core/src/node/streaming.rs
+++ b/crates/stonevane-core/src/node/streaming.rs
@@ -4,11 +4,11 @@
 use stonevane_policy::{AttemptStatus, Micros};
 
 use super::Core;
-use crate::clients::StreamedAnswer;
+use crate::clients::{StreamStart, StreamedAnswer};
 use crate::faults::Faults;
 use crate::io::Output;
 use crate::reply::{ConnId, Reply};
-use crate::servers::{ConnState, StreamPiece, StreamTarget};
+use crate::servers::{ConnState, STREAM_CHUNK_BYTES, StreamPiece, StreamTarget};
 use crate::trace::CloseReason;
 
 /// A streamed value that makes no progress for this time, while the client's buffer has space, counts as
@@ -50,13 +50,17 @@
         };
         let target = StreamTarget { client: entry.client, slot: entry.slot };
         let class_slot = entry.class_slot;
+        let Some(start) = self.reserve_stream(id, target, length) else {
+            return self.on_reply_without_memory(id);
+        };
         self.record_server_response(key);
         let conn = self.connections.pool.get_mut(id);
         let reservation = conn.and_then(|conn| conn.begin_stream(target));
         let head = format!("${length}\r\n").into();
         let session = self.connections.clients.sessions.get_mut(&target.client);
-        let has_begun = session
-            .is_some_and(|session| session.begin_stream(target.slot, id, class_slot, head, reservation));
+        let has_begun = session.is_some_and(|session| {
+            session.begin_stream(target.slot, id, class_slot, head, start, reservation)
+        });
         if !has_begun {
             self.close_server_connection(id, CloseReason::ReplyEndsConnection);
         }
@@ -68,6 +72,21 @@
         }
     }
 
+    /// Decides when the value is written. Requests behind it on the client's connection may have run, and
+    /// their answers would be lost if the value broke off after a part of it was written: then the complete
+    /// value is buffered first. Returns `None` if there is no memory for that.
+    fn reserve_stream(&mut self, id: ConnId, target: StreamTarget, length: usize) -> Option<StreamStart> {
+        let session = self.connections.clients.sessions.get(&target.client);
+        if !session.is_some_and(|session| session.has_slots_behind(target.slot)) {
+            return Some(StreamStart::Immediate);
+        }
+        let connections = &mut self.connections;
+        let reservation = connections.pool.get_mut(id)?.reservation_mut()?;
+        let missing = (length + STREAM_CHUNK_BYTES).saturating_sub(reservation.bytes());
+        let is_reserved = missing == 0 || connections.memory.try_grow(reservation, missing);
+        (is_reserved && length <= connections.max_reply_value).then_some(StreamStart::Complete(length))
+    }
+
     /// Forwards a piece of a streamed value to its client.
     pub(super) fn forward_piece(&mut self, id: ConnId, piece: StreamPiece) {
         match piece {
--- a/crates/stonevane-core/src/servers/conn.rs
+++ b/crates/stonevane-core/src/servers/conn.rs
@@ -20,9 +20,9 @@
 /// Memory reserved for a reply with a buffered value, in bytes: the received value and its copy.
 const BUFFERED_REPLY_MEMORY: usize = 2 * MAX_ARG_BYTES;
 /// Chunk size of reads of a streamed value.
-const LONG_READ_CHUNK_BYTES: usize = 64 * 1024;
+pub const STREAM_CHUNK_BYTES: usize = 64 * 1024;
 /// Buffer size of a streamed value, in bytes: one chunk that is being written and one that is arriving.
-pub const STREAM_BUFFER: usize = 2 * LONG_READ_CHUNK_BYTES;
+pub const STREAM_BUFFER: usize = 2 * STREAM_CHUNK_BYTES;
 /// The longest value that is streamed, in bytes. A reply with a longer one is malformed.
 const MAX_STREAMED_VALUE_BYTES: usize = 64 * 1024 * 1024;
 
@@ -200,7 +200,7 @@
         match self.state {
             ConnState::Connecting | ConnState::Writing => 0,
             _ if self.awaits_memory => 0,
-            ConnState::Streaming => LONG_READ_CHUNK_BYTES,
+            ConnState::Streaming => STREAM_CHUNK_BYTES,
             _ => self.max_buffered_bytes().saturating_sub(self.buffered_bytes()),
         }
     }
--- a/crates/stonevane-core/src/servers/mod.rs
+++ b/crates/stonevane-core/src/servers/mod.rs
@@ -7,7 +7,7 @@
 mod pool;
 
 pub use conn::{
-    ConnState, DecodeOptions, MemoryDemand, Protocol, ReadOutcome, STREAM_BUFFER, ServerConn, StreamPiece,
-    StreamTarget,
+    ConnState, DecodeOptions, MemoryDemand, Protocol, ReadOutcome, STREAM_BUFFER, STREAM_CHUNK_BYTES,
+    ServerConn, StreamPiece, StreamTarget,
 };
 pub use pool::Pool;
--- a/crates/stonevane-core/tests/passage.rs
+++ b/crates/stonevane-core/tests/passage.rs
@@ -293,3 +293,53 @@
         assert!(harness.closed.contains(&harness.client) && harness.closed.contains(&conn));
     }
 }
+
+/// Guards against answers that are lost with a long value in front of them that breaks off (`review/9`).
+#[test]
+fn a_value_that_breaks_off_takes_no_answer_of_a_later_command_along() {
+    let long = answer(&value(300_000));
+    let mut harness = Harness::new();
+    let conns = harness.send_requests(&["aa", "bb"]);
+    harness.receive(conns[0], &long[..250_000], &mut std::iter::empty());
+    harness.receive(conns[1], common::HIT, &mut std::iter::empty());
+    assert!(harness.written.is_empty(), "a part of a value was written that can break off");
+    harness.feed(Input::Closed(conns[0]));
+    assert_eq!(String::from_utf8_lossy(&harness.written), "-ERR failed\r\n$5\r\nvalue\r\n");
+    assert!(!harness.closed.contains(&harness.client));
+    // A complete value is written before the later answer.
+    harness.written.clear();
+    let conns = harness.send_requests(&["cc", "dd"]);
+    harness.receive(conns[1], common::HIT, &mut std::iter::empty());
+    harness.receive(conns[0], &long, &mut std::iter::empty());
+    let expected = [&expected_answer(&value(300_000))[..], b"$5\r\nvalue\r\n"].concat();
+    assert!(harness.written == expected);
+    // A value for which there is no memory fails alone.
+    harness.written.clear();
+    let conns = harness.send_requests(&["ee", "ff"]);
+    harness.receive(conns[0], &answer(&value(5 << 20)), &mut std::iter::empty());
+    harness.receive(conns[1], common::HIT, &mut std::iter::empty());
+    assert_eq!(String::from_utf8_lossy(&harness.written), "-ERR failed\r\n$5\r\nvalue\r\n");
+    assert_eq!(harness.core.resource_counts().memory, 0);
+}
+
+/// Guards against a request that runs while a value in front of it can still break off (`review/9`).
+#[test]
+fn a_command_behind_a_value_that_is_being_written_waits_for_its_end() {
+    let long = answer(&value(300_000));
+    let mut harness = Harness::new();
+    let conn = harness.send_requests(&["aa"])[0];
+    harness.receive(conn, &long[..50_000], &mut std::iter::empty());
+    harness.attempts.clear();
+    harness.feed(Input::Bytes(harness.client, &get("bb", "bb")));
+    assert!(harness.attempts.is_empty() && harness.core.read_budget(harness.client) == 0);
+    harness.receive(conn, &long[50_000..], &mut std::iter::empty());
+    assert_eq!(harness.attempts.len(), 1, "the command runs once the value is complete");
+    assert!(harness.core.read_budget(harness.client) > 0);
+    // A command that came while a value was written that then broke off has not run.
+    let conn = harness.attempts[0].0;
+    harness.receive(conn, &long[..50_000], &mut std::iter::empty());
+    harness.attempts.clear();
+    harness.feed(Input::Bytes(harness.client, &get("cc", "cc")));
+    harness.feed(Input::Closed(conn));
+    assert!(harness.attempts.is_empty());
+}
