Client connections are closed only once the kernel has sent every answer

Cause: a session counted as between requests once the kernel had taken the last byte of its answer. Drain, eviction, idle limit, the close behind an error and the end of the process all went by that. A value that broke off closed its connection outright, over unread input, and so could take earlier answers along as well.

Change: before a close the driver asks the kernel whether anything is unsent (the low-water mark for unsent bytes of TCP, by socket2, which the runtime uses already) and otherwise reports Input::Unsent. The core leaves the connection open and served, does not evict it, and tries again each 10 ms, for 10 s behind the last write at most. A drain goes on beyond its time only while an answer that has begun is on its way, for 10 s at most. A broken value ends its connection like an error does: end of the stream, then input is discarded for a moment.

--- a/crates/stonevane-core/src/clients/mod.rs
+++ b/crates/stonevane-core/src/clients/mod.rs
@@ -15,7 +15,7 @@
 use crate::reply::ConnId;
 
 pub use resp::{ClientCommand, decode, encode};
-pub use session::{Evictability, EvictionClass, Session, SessionTimeout};
+pub use session::{Evictability, EvictionClass, MAX_SEND_TIME, Session, SessionTimeout};
 pub use slot::{Slot, StreamStart, StreamedAnswer};
 
 /// Time limits on client connections. Each expires at a fixed time that is not extended by a slow trickle of
@@ -141,8 +141,17 @@
 
     /// Returns the connections between requests, in the order of their ids.
     pub fn between_requests(&self) -> Vec<ConnId> {
-        let idle = self.sessions.iter().filter(|(_, session)| session.is_between_requests());
-        let mut ids: Vec<_> = idle.map(|(id, _)| *id).collect();
+        self.ids_of(Session::is_between_requests)
+    }
+
+    /// Returns the connections without a pending answer, in the order of their ids.
+    pub fn without_pending_answers(&self) -> Vec<ConnId> {
+        self.ids_of(|session| !session.has_pending_answers())
+    }
+
+    fn ids_of(&self, is_included: impl Fn(&Session) -> bool) -> Vec<ConnId> {
+        let included = self.sessions.iter().filter(|(_, session)| is_included(session));
+        let mut ids: Vec<_> = included.map(|(id, _)| *id).collect();
         ids.sort_unstable();
         ids
     }
--- a/crates/stonevane-core/src/clients/session.rs
+++ b/crates/stonevane-core/src/clients/session.rs
@@ -21,6 +21,13 @@
 /// Divisor of the memory budget: all pending answers of one connection together take at most the quotient.
 const PIPELINE_MEMORY_DIVISOR: usize = 16;
 
+/// Interval of the checks whether the operating system has sent everything to a client whose connection is to
+/// be closed.
+const UNSENT_CHECK_INTERVAL: Micros = 10_000;
+/// Longest time from the end of a write until the operating system has sent it: about the time in which a slow
+/// client reads what the operating system can hold for it.
+pub const MAX_SEND_TIME: Micros = 10_000_000;
+
 /// Reason why a connection may be evicted, in the order of eviction.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum EvictionClass {
@@ -50,6 +57,8 @@
     Write,
     /// No complete command arrived in time. An error reply is queued, and no more input is read.
     Command,
+    /// It is to be checked again whether the operating system has sent everything.
+    Unsent,
     /// The connection was idle for too long.
     Idle,
 }
@@ -92,6 +101,12 @@
     pub closing: bool,
     /// Whether the connection is half-closed after its last answer. Further input is discarded.
     pub half_closed: bool,
+    /// Whether the reason of the present close has been counted.
+    pub close_noted: bool,
+    /// Whether the operating system had not sent everything at the last check since the last write.
+    has_unsent: bool,
+    /// Time of the next check whether the operating system has sent everything; `None` if none is due.
+    unsent_check_at: Option<Micros>,
     last_input_at: Micros,
     /// The session's current entry in the order of eviction.
     pub listed_evictability: Option<Evictability>,
@@ -122,6 +137,9 @@
             reading_paused: false,
             closing: false,
             half_closed: false,
+            close_noted: false,
+            has_unsent: false,
+            unsent_check_at: None,
             last_input_at: now,
             listed_evictability: None,
             was_blocked: false,
@@ -184,6 +202,7 @@
             self.command_deadline = Some(now + timeouts.command);
         }
         self.last_input_at = now;
+        self.close_noted = false;
         self.input.extend_from_slice(bytes);
     }
 
@@ -325,11 +344,15 @@
         }
     }
 
-    /// Marks a streamed answer as broken after the client may have received a part of it.
-    pub fn mark_stream_broken(&mut self, slot: u64) {
+    /// Ends the session behind a streamed answer that broke off after the client may have received a part of it.
+    /// Returns the slots from that answer on: nothing can be written behind a partial value.
+    pub fn end_at_broken_stream(&mut self, slot: u64) -> VecDeque<Slot> {
         if let Some(stream) = self.stream_mut(slot) {
             stream.broken = true;
         }
+        self.end_input();
+        let index = self.slot_index(slot).unwrap_or(0);
+        self.slots.split_off(index.min(self.slots.len()))
     }
 
     /// Takes the streamed answers that have been completely written since the last call.
@@ -390,6 +413,7 @@
     /// streamed answer's buffer.
     pub fn on_write_complete(&mut self, now: Micros) {
         self.pending_write = None;
+        self.has_unsent = false;
         self.idle_since = now;
         let written = std::mem::take(&mut self.streamed_bytes_in_write);
         if let Some(Slot::Streaming(stream)) = self.slots.front_mut() {
@@ -397,6 +421,28 @@
         }
     }
 
+    /// Handles that the connection cannot be closed yet, because the operating system has not sent everything.
+    /// Returns whether it may still take time to do so.
+    pub fn on_unsent(&mut self, now: Micros) -> bool {
+        self.closing = false;
+        self.half_closed = false;
+        self.has_unsent = true;
+        self.unsent_check_at = Some(now + UNSENT_CHECK_INTERVAL);
+        now < self.idle_since + MAX_SEND_TIME
+    }
+
+    /// Returns whether a part of an answer has been written that the client may not have received whole.
+    pub fn is_sending(&self) -> bool {
+        let has_started = matches!(self.slots.front(), Some(Slot::Streaming(stream)) if stream.is_started());
+        has_started || self.pending_write.is_some() || self.has_unsent
+    }
+
+    /// Takes no further input, and discards what is no complete command.
+    pub fn end_input(&mut self) {
+        self.input_closed = true;
+        self.discard_input();
+    }
+
     /// Returns whether an answer is pending or being written.
     pub fn has_pending_answers(&self) -> bool {
         !self.slots.is_empty() || self.pending_write.is_some()
@@ -424,7 +470,7 @@
             None
         } else if self.half_closed {
             entry(EvictionClass::HalfClosed, self.idle_since)
-        } else if self.has_pending_answers() || self.input_closed {
+        } else if self.has_pending_answers() || self.input_closed || self.unsent_check_at.is_some() {
             None
         } else if !self.input.is_empty() {
             entry(EvictionClass::PartialCommand, self.last_input_at)
@@ -441,7 +487,10 @@
         let write = self.pending_write.as_ref().map(|write| write.deadline);
         let is_idle = self.has_been_served() && self.is_between_requests();
         let idle = is_idle.then_some(self.idle_since + timeouts.idle);
-        [command, write, idle].into_iter().flatten().min()
+        [command, write, idle.filter(|_| self.unsent_check_at.is_none()), self.unsent_check_at]
+            .into_iter()
+            .flatten()
+            .min()
     }
 
     /// Returns which time limit has expired. If it is that of a command, input ends and an error reply is
@@ -452,11 +501,13 @@
         }
         if self.accepts_request(memory) && self.command_deadline.is_some_and(|deadline| deadline <= now) {
             // Complete commands that arrived earlier are still answered.
-            self.input_closed = true;
-            self.discard_input();
+            self.end_input();
             self.push_answer("-ERR no whole command in time\r\n");
             return SessionTimeout::Command;
         }
+        if self.unsent_check_at.take_if(|check_at| *check_at <= now).is_some() {
+            return SessionTimeout::Unsent;
+        }
         SessionTimeout::Idle
     }
 }
--- a/crates/stonevane-core/src/io.rs
+++ b/crates/stonevane-core/src/io.rs
@@ -24,6 +24,10 @@
     Bytes(ConnId, &'a [u8]),
     /// All of the last [`Output::Write`] or [`Output::WriteRequest`] has been handed to the operating system.
     Flushed(ConnId),
+    /// The driver has not performed an [`Output::CloseIfIdle`] or [`Output::CloseWrite`]: the operating system has
+    /// not sent everything yet that was written to the client, and a close could lose it. The connection stays
+    /// open in both directions.
+    Unsent(ConnId),
     /// The last answer and the end of the stream are written; [`Input::Closed`] follows.
     WriteClosed(ConnId),
     /// A connection was closed by the peer, broke, or could not be opened.
@@ -136,7 +140,8 @@
     Write(ConnId, Bytes),
     /// Write the last answer to a client, immediately followed by the end of the stream;
     /// [`Input::WriteClosed`] follows. If input has arrived on the connection, it is passed to the core
-    /// first, and this acts as an [`Output::Write`].
+    /// first, and this acts as an [`Output::Write`]; so it does if the operating system does not send all of the
+    /// answer at once.
     WriteAndClose(ConnId, Bytes),
     /// Write a request to a server connection. The server may have closed the connection in the meantime: if
     /// input or a close has arrived on the connection, the driver passes it to the core and writes nothing.
@@ -157,10 +162,10 @@
     /// Close a connection or cancel a call; no input follows.
     Close(ConnId),
     /// Close a client connection, unless input has arrived, which is passed to the core instead.
-    /// [`Input::Closed`] follows.
+    /// [`Input::Closed`] or [`Input::Unsent`] follows.
     CloseIfIdle(ConnId),
     /// Half-close a client connection and read for a moment longer, so that a reset does not overtake the
-    /// last answer. [`Input::Closed`] follows.
+    /// last answer. [`Input::Closed`] or [`Input::Unsent`] follows.
     CloseWrite(ConnId),
     /// Resume reading from a connection.
     Resume(ConnId),
--- a/crates/stonevane-core/src/node/client_io.rs
+++ b/crates/stonevane-core/src/node/client_io.rs
@@ -1,5 +1,7 @@
 //! Events on client connections: input, writes, time limits, disconnects.
 
+use std::collections::VecDeque;
+
 use stonevane_codec::resp::{MAX_COMMAND_BYTES, Malformed};
 
 use super::Core;
@@ -43,6 +45,18 @@
         self.process_client(id);
     }
 
+    /// Handles that a connection was not closed because the operating system has not sent everything. The close
+    /// is tried again later, unless the client has not read for too long.
+    pub(super) fn on_unsent(&mut self, id: ConnId) {
+        let Some(session) = self.connections.clients.sessions.get_mut(&id) else { return };
+        if !session.on_unsent(self.now) {
+            self.close_connection(id, CloseReason::TimeLimit);
+            return self.remove_client(id);
+        }
+        self.resume_client(id);
+        self.connections.clients.update_eviction_order(id);
+    }
+
     /// Handles the completed write of a client's last answer and of the end of stream after it.
     pub(super) fn on_write_closed(&mut self, id: ConnId) {
         if let Some(session) = self.connections.clients.sessions.get_mut(&id) {
@@ -86,7 +100,7 @@
                 self.close_connection(id, CloseReason::TimeLimit);
                 self.remove_client(id);
             }
-            SessionTimeout::Command => self.process_client(id),
+            SessionTimeout::Command | SessionTimeout::Unsent => self.process_client(id),
             SessionTimeout::Idle => self.close_if_idle(id, CloseReason::TimeLimit),
         }
     }
@@ -104,7 +118,7 @@
             self.resume_server_connection(conn);
         }
         if must_close {
-            self.note_close(id, CloseReason::AfterError);
+            self.note_client_close(id, CloseReason::AfterError);
         }
         let Some(session) = self.connections.clients.sessions.get(&id) else { return };
         let may_close = session.has_been_served() || !self.handover.replaced;
@@ -186,17 +200,40 @@
         let Some(session) = self.connections.clients.sessions.get_mut(&id) else { return };
         let was_closing = std::mem::replace(&mut session.closing, true);
         if !was_closing {
-            self.note_close(id, reason);
+            self.note_client_close(id, reason);
             self.out.push_back(Output::CloseIfIdle(id));
         }
         self.connections.clients.update_eviction_order(id);
     }
 
+    /// Counts and traces the reason for closing a client connection, once for all tries.
+    fn note_client_close(&mut self, id: ConnId, reason: CloseReason) {
+        let session = self.connections.clients.sessions.get_mut(&id);
+        let was_noted = session.is_some_and(|session| std::mem::replace(&mut session.close_noted, true));
+        if !was_noted {
+            self.note_close(id, reason);
+        }
+    }
+
+    /// Ends a client connection at a streamed answer that broke off after a part of it was written. What the
+    /// client has not read yet of earlier answers must still reach it.
+    pub(super) fn end_at_broken_stream(&mut self, id: ConnId, slot: u64) {
+        let Some(session) = self.connections.clients.sessions.get_mut(&id) else { return };
+        let slots = session.end_at_broken_stream(slot);
+        self.note_client_close(id, CloseReason::StreamBroken);
+        self.abandon_slots(slots);
+        self.process_client(id);
+    }
+
     /// Removes a client that has disconnected or been closed, and abandons its requests.
     pub(super) fn remove_client(&mut self, id: ConnId) {
         let Some(session) = self.connections.clients.remove(id) else { return };
         self.connections.memory.cancel(id);
-        for slot in session.slots {
+        self.abandon_slots(session.slots);
+    }
+
+    fn abandon_slots(&mut self, slots: VecDeque<Slot>) {
+        for slot in slots {
             match slot {
                 Slot::Pending { request, id } => self.abandon_request(request, &id),
                 Slot::Streaming(stream) => self.abandon_stream(&stream),
--- a/crates/stonevane-core/src/node/drain.rs
+++ b/crates/stonevane-core/src/node/drain.rs
@@ -2,12 +2,14 @@
 //!
 //! After SIGTERM, connections are accepted for another 450 ms, or not at all if a newer process has taken
 //! over. Then client connections are closed between requests. The process ends once every request is answered
-//! and every client has disconnected, at the latest min(longest deadline, 3 s) + 550 ms after SIGTERM.
+//! and every client has disconnected, at the latest min(longest deadline, 3 s) + 550 ms after SIGTERM. Only while
+//! clients still receive answers that have begun, it goes on for up to 10 s.
 
 use stonevane_policy::{Event, Micros};
 
 use super::Core;
 use super::connections::ConnectionLimits;
+use crate::clients::{MAX_SEND_TIME, Session};
 use crate::faults::{Faults, Mutant};
 use crate::handover::{Capacity, CapacityGrant, ProcessStage};
 use crate::io::Output;
@@ -44,11 +46,13 @@
     pub phase: Phase,
     /// Time at which the process ends even if the drain is not complete; `None` before SIGTERM.
     pub ends_at: Option<Micros>,
+    /// Whether the clients that wait for no answer have been closed at the end of the drain.
+    has_closed_waiting: bool,
 }
 
 impl Drain {
     pub fn new() -> Drain {
-        Drain { phase: Phase::Starting, ends_at: None }
+        Drain { phase: Phase::Starting, ends_at: None, has_closed_waiting: false }
     }
 }
 
@@ -178,13 +182,36 @@
 
     /// Ends the process if the drain is complete or overdue; otherwise schedules the next check.
     pub(super) fn check_drain(&mut self) {
-        let is_overdue = self.drain.ends_at.is_some_and(|ends_at| self.now >= ends_at);
         let has_clients = !self.connections.clients.sessions.is_empty();
         let is_complete = self.requests.all_closed() && !has_clients;
-        if is_overdue || is_complete {
+        if is_complete || self.is_drain_over() {
             self.out.push_back(Output::Done);
         } else {
             self.timers.push(self.now + CHECK_INTERVAL, TimerKind::DrainCheck);
         }
     }
+
+    /// Returns whether the drain's time is over and no answer would be cut off by the end of the process.
+    fn is_drain_over(&mut self) -> bool {
+        let Some(ends_at) = self.drain.ends_at.filter(|ends_at| self.now >= *ends_at) else { return false };
+        // The driver answers whether it could close these clients, which the next check takes into account.
+        if !std::mem::replace(&mut self.drain.has_closed_waiting, true) {
+            self.close_waiting_clients();
+            return false;
+        }
+        let is_sending = self.connections.clients.sessions.values().any(Session::is_sending);
+        !is_sending || self.now >= ends_at + MAX_SEND_TIME
+    }
+
+    /// Closes the clients that wait for no answer: those that have sent the beginning of a command, and those
+    /// that would be closed with their next answer.
+    fn close_waiting_clients(&mut self) {
+        let waiting = self.connections.clients.without_pending_answers();
+        for client in waiting {
+            if let Some(session) = self.connections.clients.sessions.get_mut(&client) {
+                session.end_input();
+            }
+            self.process_client(client);
+        }
+    }
 }
--- a/crates/stonevane-core/src/node/mod.rs
+++ b/crates/stonevane-core/src/node/mod.rs
@@ -190,6 +190,7 @@
             Input::Accepted(id) => self.on_accepted(id),
             Input::Bytes(id, bytes) => self.on_bytes(id, bytes),
             Input::Flushed(id) => self.on_flushed(id),
+            Input::Unsent(id) => self.on_unsent(id),
             Input::WriteClosed(id) => self.on_write_closed(id),
             Input::Closed(id) => self.on_closed(id),
             Input::Opened(id) => self.on_opened(id),
--- a/crates/stonevane-core/src/node/streaming.rs
+++ b/crates/stonevane-core/src/node/streaming.rs
@@ -151,9 +151,7 @@
             self.requests.unanswered -= 1;
             self.process_client(client);
         } else {
-            session.mark_stream_broken(slot);
-            self.close_connection(client, CloseReason::StreamBroken);
-            self.remove_client(client);
+            self.end_at_broken_stream(client, slot);
         }
     }
 
--- a/crates/stonevane-core/tests/passage.rs
+++ b/crates/stonevane-core/tests/passage.rs
@@ -76,7 +76,7 @@
                         self.flush();
                     }
                 }
-                Output::Close(id) => drop(self.closed.insert(id)),
+                Output::Close(id) | Output::CloseWrite(id) => drop(self.closed.insert(id)),
                 _ => {}
             }
         }
--- a/crates/stonevane-node/src/driver/mod.rs
+++ b/crates/stonevane-node/src/driver/mod.rs
@@ -219,7 +219,7 @@
             Output::CallStore(id, call) => self.call_store(state, id, call),
             Output::Close(id) => drop(state.connections.remove(&id)),
             Output::CloseIfIdle(id) => self.close_if_idle(state, id),
-            Output::CloseWrite(id) => self.half_close(state, id),
+            Output::CloseWrite(id) => self.close_write(state, id),
             Output::Resume(id) => {
                 if let Some(connection) = state.connections.get(&id) {
                     connection.resume.notify_one();
--- a/crates/stonevane-node/src/driver/socket.rs
+++ b/crates/stonevane-node/src/driver/socket.rs
@@ -5,8 +5,10 @@
 use std::pin::pin;
 use std::task::{Context, Waker};
 
+use rustix::event::{PollFd, PollFlags, Timespec, poll};
 use rustix::io::retry_on_intr;
 use rustix::net::{RecvFlags, Shutdown};
+use socket2::SockRef;
 use tokio::io::Interest;
 use tokio::net::TcpStream;
 
@@ -51,6 +53,26 @@
     }
 }
 
+/// Number of unsent bytes from which on the kernel does not report a socket as writable.
+const NOTHING_UNSENT: u32 = 1;
+/// The system's default for that number.
+const SYSTEM_DEFAULT: u32 = 0;
+
+/// Returns whether the kernel has sent everything that was written. Unsent bytes, those that a slow peer has no
+/// space for, are lost if the connection is reset; a close resets it if the peer sends anything afterwards.
+/// `true` on a system that cannot tell.
+pub(super) fn is_everything_sent(stream: &TcpStream) -> bool {
+    let socket = SockRef::from(stream);
+    if socket.set_tcp_notsent_lowat(NOTHING_UNSENT).is_err() {
+        return true;
+    }
+    let at_once = Timespec { tv_sec: 0, tv_nsec: 0 };
+    let ready = retry_on_intr(|| poll(&mut [PollFd::new(stream, PollFlags::OUT)], Some(&at_once)));
+    let _ = socket.set_tcp_notsent_lowat(SYSTEM_DEFAULT);
+    // A broken connection is ready too.
+    ready.map_or(true, |ready| ready > 0)
+}
+
 /// Ends this side of the stream.
 pub(super) fn shutdown_write(stream: &TcpStream) {
     let _ = rustix::net::shutdown(stream, Shutdown::Write);
--- a/crates/stonevane-node/src/driver/tests.rs
+++ b/crates/stonevane-node/src/driver/tests.rs
@@ -86,7 +86,9 @@
         }
         for connection in &mut self.connections {
             if connection.read(&mut [0; 4_096]).is_ok_and(|count| count > 0) {
+                connection.set_nonblocking(false).unwrap();
                 connection.write_all(&cache_reply(value)).unwrap();
+                connection.set_nonblocking(true).unwrap();
             }
         }
     }
@@ -200,3 +202,56 @@
         accepting.abort();
     });
 }
+
+/// Guards against answers that are cut off by a close: the kernel has taken them, and the client has not received
+/// them (`review/10`).
+#[test]
+fn a_client_that_still_reads_an_answer_is_neither_closed_nor_cut_off_by_a_drain() {
+    const VALUE_BYTES: usize = 300_000;
+    const RECEIVE_BUFFER_BYTES: usize = 4_096;
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    runtime.block_on(async {
+        let clock = Clock::start();
+        let mut cache = CacheStub::start();
+        let core = core_with(clock, list_of_cache(cache.listener.local_addr().unwrap()));
+        let driver = Driver::new(core, clock, PollTime::default(), Exclusions::new(None), None, None);
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+        socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES).unwrap();
+        socket.connect(&listener.local_addr().unwrap().into()).unwrap();
+        let mut client = std::net::TcpStream::from(socket);
+        client.set_nonblocking(true).unwrap();
+        let accepting = tokio::spawn(driver.clone().accept_clients(listener));
+        driver.input(Input::Wake);
+        let command = |id: &[u8]| encode_command(&[b"OBJ.GET", id, id, b"c=read,t=all,d=900"]);
+        client.write_all(&command(b"0001")).unwrap();
+        let value = "z".repeat(VALUE_BYTES);
+        let head = format!("${VALUE_BYTES}\r\n");
+        let mut received = next_answer(&mut client, &mut cache, &value).await;
+        while driver.lock().core.resource_counts().unanswered > 0 {
+            tokio::task::yield_now().await;
+        }
+        let client_id = *driver.lock().connections.keys().min().unwrap();
+        driver.input(Input::Terminate);
+        std::thread::sleep(Duration::from_millis(600));
+        driver.input(Input::Wake);
+        assert!(driver.lock().connections.contains_key(&client_id), "closed while the client still reads");
+        // The client sends a further command while it reads.
+        client.write_all(&command(b"0002")).unwrap();
+        let mut buffer = vec![0; 65_536];
+        loop {
+            cache.answer_requests("second");
+            match client.read(&mut buffer) {
+                Ok(0) => break,
+                Ok(count) => received.push_str(&String::from_utf8_lossy(&buffer[..count])),
+                Err(error) => assert_eq!(error.kind(), std::io::ErrorKind::WouldBlock, "{error}"),
+            }
+            driver.input(Input::Wake);
+            tokio::task::yield_now().await;
+        }
+        let expected = format!("{head}{value}\r\n$6\r\nsecond\r\n");
+        assert_eq!(received.len(), expected.len());
+        assert!(received == expected, "the client has both answers");
+        accepting.abort();
+    });
+}
