Commands that arrive with a rejected one are rejected too

Cause: the rejection ended the connection's input, and the commands behind it were discarded.

Change: each whole command is rejected; the connection is closed together with the last of these answers, if nothing further has arrived. The rest of a command that has begun may take 20 ms, and 256 rejections in a row end the input.

--- a/crates/stonevane-core/src/clients/session.rs
+++ b/crates/stonevane-core/src/clients/session.rs
@@ -21,6 +21,11 @@
 /// Divisor of the memory budget: all pending answers of one connection together take at most the quotient.
 const PIPELINE_MEMORY_DIVISOR: usize = 16;
 
+/// Number of commands in a row that are rejected because of a full connection table before no more input of
+/// their connection is read.
+const MAX_REJECTED_COMMANDS: usize = 256;
+/// Longest time for the rest of a command behind a rejected one: the connection is to be closed.
+const REJECTED_COMMAND_TIMEOUT: Micros = 20_000;
 /// Interval of the checks whether the operating system has sent everything to a client whose connection is to
 /// be closed.
 const UNSENT_CHECK_INTERVAL: Micros = 10_000;
@@ -88,6 +93,8 @@
     /// Whether only the connections reserved for rejections were left when this connection was accepted.
     /// Cleared by the first request that is not rejected because of the full table.
     pub over_capacity: bool,
+    /// Number of requests that were rejected because of the full table since the last one that was not.
+    table_full_rejections: usize,
     /// Size of the longest answer so far, in bytes.
     longest_answer_bytes: usize,
     /// Time by which the awaited command must be complete; `None` if no command has begun.
@@ -130,6 +137,7 @@
             first_slot: 0,
             input_closed: false,
             over_capacity: false,
+            table_full_rejections: 0,
             longest_answer_bytes: 0,
             command_deadline: Some(now + timeouts.first_command),
             idle_since: now,
@@ -234,6 +242,10 @@
                 self.command_deadline = (!self.input.is_empty()).then(|| now + timeouts.command);
             }
             Some(Err(_)) => self.input_closed = true,
+            None if self.closes_between_requests() && accepts => {
+                let deadline = now + REJECTED_COMMAND_TIMEOUT;
+                self.command_deadline = self.command_deadline.map(|current| current.min(deadline));
+            }
             None => {}
         }
         if self.input.is_empty() || self.input_closed {
@@ -242,6 +254,24 @@
         command
     }
 
+    /// Handles that a request was rejected because the connection table is full.
+    pub fn on_table_full(&mut self) {
+        self.table_full_rejections += 1;
+        self.input_closed |= self.table_full_rejections >= MAX_REJECTED_COMMANDS;
+    }
+
+    /// Handles that a request was not rejected because of a full connection table.
+    pub fn on_within_capacity(&mut self) {
+        self.over_capacity = false;
+        self.table_full_rejections = 0;
+    }
+
+    /// Whether the connection is to be closed once every command that has arrived is answered, because its
+    /// requests are rejected.
+    pub fn closes_between_requests(&self) -> bool {
+        self.table_full_rejections > 0 && !self.input_closed
+    }
+
     fn discard_input(&mut self) {
         self.input = BytesMut::new();
         self.command_memory = None;
--- a/crates/stonevane-core/src/node/client_io.rs
+++ b/crates/stonevane-core/src/node/client_io.rs
@@ -124,6 +124,8 @@
         let may_close = session.has_been_served() || !self.handover.replaced;
         if self.drain.phase == Phase::Draining && session.is_between_requests() && may_close {
             self.close_if_idle(id, CloseReason::Drain);
+        } else if session.closes_between_requests() && session.is_between_requests() {
+            self.close_if_idle(id, CloseReason::AfterError);
         }
         self.connections.clients.update_eviction_order(id);
     }
@@ -148,10 +150,10 @@
         let clients = &mut self.connections.clients;
         let Some(session) = clients.sessions.get_mut(&id) else { return };
         if let Some(bytes) = session.poll_write(self.now, &clients.timeouts) {
-            // A drain closes the connection together with an answer, while the client cannot have sent
-            // another request.
+            // A drain and a full table close the connection together with an answer, while the client cannot
+            // have sent another request.
             let is_drained = self.drain.phase == Phase::Draining && !session.input_closed;
-            let closes = is_drained && session.is_last_write();
+            let closes = (is_drained || session.closes_between_requests()) && session.is_last_write();
             let write = if closes { Output::WriteAndClose(id, bytes) } else { Output::Write(id, bytes) };
             self.out.push_back(write);
         }
--- a/crates/stonevane-core/src/node/requests.rs
+++ b/crates/stonevane-core/src/node/requests.rs
@@ -91,8 +91,8 @@
 /// Reason for answering a command without passing it to the policy.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum ArrivalError {
-    /// Only the connections reserved for rejections are left: the request is rejected and its connection
-    /// closed.
+    /// Only the connections reserved for rejections are left: the request is rejected, and its connection
+    /// closed once every command that arrived with it is answered.
     ConnectionTableFull,
     /// A request with the same client-chosen id is pending.
     DuplicateId,
@@ -155,7 +155,7 @@
             if session.over_capacity && only_reserved_left {
                 return Err(ArrivalError::ConnectionTableFull);
             }
-            session.over_capacity = false;
+            session.on_within_capacity();
         }
         if self.connections.clients.pending_ids.contains(&command.id) {
             return Err(ArrivalError::DuplicateId);
@@ -176,7 +176,9 @@
             ArrivalError::DuplicateId => counts.failed += 1,
         }
         if let Some(session) = self.connections.clients.sessions.get_mut(&client) {
-            session.input_closed |= error == ArrivalError::ConnectionTableFull;
+            if error == ArrivalError::ConnectionTableFull {
+                session.on_table_full();
+            }
             session.push_answer(error.answer());
         }
         self.reporter.count_decision(error.name());
--- a/crates/stonevane-core/tests/crowd.rs
+++ b/crates/stonevane-core/tests/crowd.rs
@@ -281,3 +281,26 @@
     harness.advance(1_000);
     assert!(pending.iter().all(|id| harness.first_answer.contains_key(id)));
 }
+
+/// Guards against commands that are dropped without an answer because they arrived with one that is rejected while
+/// the connection table is full (`crowd` of the review).
+#[test]
+fn every_command_that_arrives_with_a_rejected_one_is_rejected_too() {
+    let mut harness = Harness::new(96);
+    let mut client = harness.connect();
+    while harness.core.accepts() {
+        harness.feed(Input::Bytes(client, b"*4\r\n$7\r\nOBJ.GET"));
+        client = harness.connect();
+    }
+    let commands: Vec<u8> = (0..3).flat_map(|number| get("k", &format!("c{number}")).to_vec()).collect();
+    // The third command arrives in two reads.
+    let (first_read, second_read) = commands.split_at(commands.len() - 10);
+    harness.feed(Input::Bytes(client, first_read));
+    assert_eq!(harness.first_answer[&client], b"-BUSY\r\n-BUSY\r\n");
+    assert!(harness.open.contains(&client), "closed although a command has begun");
+    harness.first_answer.remove(&client);
+    harness.feed(Input::Bytes(client, second_read));
+    assert_eq!(harness.first_answer[&client], b"-BUSY\r\n");
+    assert!(!harness.open.contains(&client), "the connection is needed for others");
+    assert!(harness.inputs.is_empty(), "nothing was sent to a server");
+}
--- a/crates/stonevane-core/tests/unsent.rs
+++ b/crates/stonevane-core/tests/unsent.rs
@@ -63,11 +63,7 @@
                 Output::CloseIfIdle(id) | Output::CloseWrite(id) if self.receiving.contains(&id) => {
                     self.feed(Input::Unsent(id));
                 }
-                Output::CloseIfIdle(id) => {
-                    self.closed.push(id);
-                    self.feed(Input::Closed(id));
-                }
-                Output::CloseWrite(id) => {
+                Output::CloseIfIdle(id) | Output::CloseWrite(id) => {
                     self.closed.push(id);
                     self.feed(Input::Closed(id));
                 }
