Simulation: turns in which a node is held up while second copies are on their way

New fault kind hold-up-node, drawn behind the others, so that earlier draws stay: servers send second copies of their answers to a node, and when a client's input arrives while a copy is on its way, the turn goes on 15 to 19 ms later with the knowledge of its begin, unless the node looks at a socket itself.

--- a/crates/stonevane-sim/src/plan/generate.rs
+++ b/crates/stonevane-sim/src/plan/generate.rs
@@ -9,7 +9,7 @@
 /// Earliest start of a fault, microseconds.
 const FIRST_FAULT_US: u64 = 500_000;
 /// Number of fault kinds; [`Plan::draw_fault`] numbers them.
-const FAULT_KINDS: u64 = 20;
+const FAULT_KINDS: u64 = 21;
 /// Number of [`FaultKind::DrainCache`].
 const DRAIN: u64 = 4;
 /// Probability that a plan has faults of a given kind.
@@ -112,7 +112,8 @@
             16 => FaultKind::Crowd { per_s: rng.rand_range(20..200) },
             17 => FaultKind::LongCommands { per_s: rng.rand_range(5..40) },
             18 => FaultKind::EndlessCache { cache: index(rng, caches) },
-            _ => FaultKind::EndlessOrigin,
+            19 => FaultKind::EndlessOrigin,
+            _ => FaultKind::HoldUpNode { node: index(rng, nodes) },
         };
         Fault { start_us, duration_us, kind }
     }
--- a/crates/stonevane-sim/src/plan/mod.rs
+++ b/crates/stonevane-sim/src/plan/mod.rs
@@ -99,6 +99,12 @@
     },
     /// The origin's answers have a chunked body that never ends. Their connections stay open.
     EndlessOrigin,
+    /// Servers send second copies of their answers to a node, and the node's process is held up in the middle of
+    /// turns: after it has learnt which connections have input, and before it handles that input.
+    HoldUpNode {
+        /// Index of the node, from 0.
+        node: usize,
+    },
 }
 
 /// A fault, with its start and its duration.
--- a/crates/stonevane-sim/src/simulation/discovery.rs
+++ b/crates/stonevane-sim/src/simulation/discovery.rs
@@ -118,7 +118,7 @@
         if !node.runs(call.incarnation) {
             return;
         }
-        if node.is_paused {
+        if node.is_stopped() {
             return node.deferred.push(Event::DiscoveryAnswer(call, list));
         }
         let input = match list {
--- a/crates/stonevane-sim/src/simulation/event.rs
+++ b/crates/stonevane-sim/src/simulation/event.rs
@@ -36,6 +36,11 @@
         node: usize,
         incarnation: u64,
     },
+    /// A node goes on with the turn in which it was held up.
+    TurnContinues {
+        node: usize,
+        incarnation: u64,
+    },
     /// A server's work on a request is done.
     WorkDone {
         stream: StreamId,
--- a/crates/stonevane-sim/src/simulation/faults.rs
+++ b/crates/stonevane-sim/src/simulation/faults.rs
@@ -67,6 +67,7 @@
                 self.apply_crowd(begins, Event::LongCommandArrival { fault: number });
             }
             FaultKind::EndlessCache { cache } => self.send_endless_answers(cache, begins),
+            FaultKind::HoldUpNode { node } => self.nodes[node].is_held_up_in_turns = begins,
             FaultKind::EndlessOrigin => self.send_endless_answers(self.servers.len() - 1, begins),
         }
     }
--- a/crates/stonevane-sim/src/simulation/mod.rs
+++ b/crates/stonevane-sim/src/simulation/mod.rs
@@ -10,6 +10,7 @@
 mod discovery;
 mod event;
 mod faults;
+mod held_turn;
 mod invariants;
 mod network;
 mod node;
@@ -167,6 +168,7 @@
             Event::HalfCloseExpired(stream) => self.half_close_expired(stream),
             Event::Connect(stream) => self.client_connects(stream),
             Event::Wake { node, incarnation } => self.wake_node(node, incarnation),
+            Event::TurnContinues { node, incarnation } => self.continue_turn(node, incarnation),
             Event::WorkDone { stream, incarnation, request, work } => {
                 self.work_done(stream, incarnation, &request, &work);
             }
--- a/crates/stonevane-sim/src/simulation/network.rs
+++ b/crates/stonevane-sim/src/simulation/network.rs
@@ -87,7 +87,7 @@
     pub(super) fn server_connected(&mut self, id: StreamId, is_accepted: bool) {
         let Some(stream) = self.streams.get(&id).filter(|stream| stream.is_node_open) else { return };
         let (node, connection) = (stream.node, stream.connection);
-        if self.nodes[node].is_paused {
+        if self.nodes[node].is_stopped() {
             return self.nodes[node].deferred.push(Event::Connected { stream: id, is_accepted });
         }
         if is_accepted {
@@ -107,7 +107,7 @@
             return self.close_node_end(id);
         }
         target.backlog.push_back(id);
-        if !target.is_paused {
+        if !target.is_stopped() {
             let mut outputs = Outputs::new();
             self.accept_backlog(node, &mut outputs);
             self.perform(node, outputs);
@@ -147,7 +147,7 @@
     pub(super) fn flushed(&mut self, id: StreamId) {
         let Some(stream) = self.streams.get_mut(&id).filter(|stream| stream.is_node_open) else { return };
         let (node, connection) = (stream.node, stream.connection);
-        if self.nodes[node].is_paused {
+        if self.nodes[node].is_stopped() {
             return self.nodes[node].deferred.push(Event::Flushed(id));
         }
         if let Some(rest) = stream.unflushed.take() {
@@ -167,7 +167,10 @@
         }
         let (node, connection) = (stream.node, stream.connection);
         // The machine buffers the chunk until the process has accepted the stream and isn't paused.
-        if connection == 0 || self.nodes[node].is_paused {
+        if connection == 0 || self.nodes[node].is_stopped() {
+            return;
+        }
+        if self.is_held_up(node, id) {
             return;
         }
         let mut outputs = Outputs::new();
--- a/crates/stonevane-sim/src/simulation/node.rs
+++ b/crates/stonevane-sim/src/simulation/node.rs
@@ -8,6 +8,7 @@
 use stonevane_core::{ConnId, Core, CoreConfig, Input, Mutant, Outputs};
 
 use super::event::Event;
+use super::held_turn::HeldTurn;
 use super::recorder::record;
 use super::settings::deployment;
 use super::{EPOCH_US, Simulation};
@@ -41,7 +42,15 @@
     /// Whether the node has called discovery in any of its incarnations.
     pub has_called_discovery: bool,
     pub is_paused: bool,
-    /// Events that came while the process was paused, to be handled when it resumes.
+    /// Whether turns of the process are held up now and then.
+    pub is_held_up_in_turns: bool,
+    /// The turn in which the process is held up.
+    pub held_turn: Option<HeldTurn>,
+    /// Simulated time until which a second copy of an answer may be on its way to the node, microseconds.
+    pub copies_arrive_until: u64,
+    /// Simulated time until which no further turn is held up, microseconds.
+    pub no_hold_up_until: u64,
+    /// Events that came while the process was paused or held up, to be handled when it resumes.
     pub deferred: Vec<Event>,
     /// Time of the latest scheduled wake, microseconds; `u64::MAX` before the first.
     pub wake_at: u64,
@@ -73,6 +82,10 @@
             incarnation: 0,
             has_called_discovery: false,
             is_paused: false,
+            is_held_up_in_turns: false,
+            held_turn: None,
+            copies_arrive_until: 0,
+            no_hold_up_until: 0,
             deferred: Vec::new(),
             wake_at: u64::MAX,
             streams: HashMap::new(),
@@ -88,7 +101,7 @@
     }
 
     /// Returns what the node's clock shows at a simulated time: Unix time in microseconds.
-    fn clock(&self, now: u64) -> u64 {
+    pub fn clock(&self, now: u64) -> u64 {
         (EPOCH_US + now).saturating_add_signed(now as i64 * self.drift_ppm / PPM)
     }
 
@@ -98,6 +111,11 @@
         (elapsed * PPM as u128 / (PPM + self.drift_ppm).max(1) as u128) as u64 + 1
     }
 
+    /// Whether the process handles no event now.
+    pub fn is_stopped(&self) -> bool {
+        self.is_paused || self.held_turn.is_some()
+    }
+
     /// Whether the process of the given incarnation still runs.
     pub fn runs(&self, incarnation: u64) -> bool {
         self.incarnation == incarnation && self.core.is_some()
@@ -143,6 +161,7 @@
         started.is_terminating = false;
         started.has_ended = false;
         started.is_paused = false;
+        started.held_turn = None;
         started.wake_at = u64::MAX;
         self.record_node_state(node, "ready");
         self.feed(node, Input::Wake);
@@ -155,6 +174,7 @@
         stopped.core = None;
         stopped.is_listening = false;
         stopped.is_paused = false;
+        stopped.held_turn = None;
         stopped.watch = None;
         stopped.deferred.clear();
         let accepted = stopped.streams.drain().map(|(_, stream)| stream);
@@ -184,7 +204,9 @@
     /// Feeds a node an input and appends its outputs to `outputs`, which the caller performs.
     pub(super) fn feed_into(&mut self, node: usize, input: Input<'_>, outputs: &mut Outputs) {
         let clock = self.nodes[node].clock(self.now());
+        let polled_at = self.polled_at(node);
         if let Some(core) = &mut self.nodes[node].core {
+            core.on_poll(polled_at);
             core.handle(clock, input, outputs);
         }
     }
@@ -195,7 +217,7 @@
         if !self.nodes[node].runs(incarnation) {
             return;
         }
-        if self.nodes[node].is_paused {
+        if self.nodes[node].is_stopped() {
             return self.nodes[node].deferred.push(Event::Wake { node, incarnation });
         }
         if self.nodes[node].wake_at <= self.now() {
@@ -228,6 +250,7 @@
             return;
         }
         self.nodes[node].is_paused = begins;
+        self.nodes[node].held_turn = None;
         if begins {
             // The node can't answer during the pause, so clients disconnect.
             for stream in self.streams_where(|stream| stream.node == node && stream.is_open_client()) {
@@ -240,7 +263,7 @@
 
     /// Resumes a process: handles the deferred events and due timers, then reads streams and accepts the
     /// backlog.
-    fn resume_node(&mut self, node: usize) {
+    pub(super) fn resume_node(&mut self, node: usize) {
         for event in std::mem::take(&mut self.nodes[node].deferred) {
             self.handle_event(event);
         }
--- a/crates/stonevane-sim/src/simulation/outputs.rs
+++ b/crates/stonevane-sim/src/simulation/outputs.rs
@@ -42,8 +42,9 @@
             Output::WriteAndClose(connection, bytes) | Output::Write(connection, bytes) => {
                 self.node_writes(node, connection, &bytes, outputs);
             }
-            Output::WriteRequest { id: connection, bytes, .. } => {
-                if self.check_nothing_unread(node, connection, outputs) {
+            Output::WriteRequest { id: connection, bytes, check_socket } => {
+                let is_unchecked = !check_socket && self.goes_by_last_poll(node);
+                if is_unchecked || self.check_nothing_unread(node, connection, outputs) {
                     self.node_writes(node, connection, &bytes, outputs);
                 }
             }
--- a/crates/stonevane-sim/src/simulation/servers.rs
+++ b/crates/stonevane-sim/src/simulation/servers.rs
@@ -189,9 +189,15 @@
             }
             return self.close_peer_end(id);
         }
-        if sends_extra_bytes {
+        let node = self.streams.get(&id).map(|stream| stream.node);
+        let node = node.filter(|node| self.nodes[*node].is_held_up_in_turns);
+        if sends_extra_bytes || node.is_some() {
             let delay = self.rng.rand_range(0..MAX_EXTRA_BYTES_DELAY_US);
             self.schedule_in(delay, Event::ExtraBytes(id, bytes.clone()));
+            if let Some(node) = node {
+                let (_, longest_delivery) = self.plan.delay_us;
+                self.nodes[node].copies_arrive_until = self.now() + delay + longest_delivery;
+            }
         }
         self.server_writes(id, &bytes);
         if self.streams.get(&id).is_some_and(|stream| !stream.has_server_slot) {
