--- a/crates/stonevane-sim/src/simulation/outputs.rs
+++ b/crates/stonevane-sim/src/simulation/outputs.rs
@@ -55,7 +55,7 @@
                 }
             }
             Output::CloseIfIdle(connection) => self.close_if_idle(node, connection, outputs),
-            Output::CloseWrite(connection) => self.close_write(node, connection),
+            Output::CloseWrite(connection) => self.close_write(node, connection, outputs),
             Output::Resume(connection) => {
                 if let Some(stream) = self.nodes[node].streams.get(&connection).copied() {
                     self.read(node, stream, outputs);
@@ -79,16 +79,29 @@
 
     fn close_if_idle(&mut self, node: usize, connection: ConnId, outputs: &mut Outputs) {
         let is_closing = self.nodes[node].core.as_ref().is_some_and(|core| core.is_closing(connection));
-        if is_closing
-            && self.check_nothing_unread(node, connection, outputs)
-            && let Some(stream) = self.nodes[node].streams.remove(&connection)
-        {
+        if !is_closing || !self.check_nothing_unread(node, connection, outputs) {
+            return;
+        }
+        if self.has_unsent(node, connection) {
+            self.feed_into(node, Input::Unsent(connection), outputs);
+        } else if let Some(stream) = self.nodes[node].streams.remove(&connection) {
             self.close_node_end(stream);
             self.feed_into(node, Input::Closed(connection), outputs);
         }
     }
 
-    fn close_write(&mut self, node: usize, connection: ConnId) {
+    /// Whether bytes of the node are still on their way to the client. Only in plans in which machines take bytes
+    /// late; in the others a machine sends everything at once.
+    fn has_unsent(&self, node: usize, connection: ConnId) -> bool {
+        let stream = self.nodes[node].streams.get(&connection).and_then(|id| self.streams.get(id));
+        let is_on_its_way = stream.is_some_and(|stream| stream.last_delivery_to_peer > self.now());
+        self.plan.late_flush_share > 0.0 && is_on_its_way
+    }
+
+    fn close_write(&mut self, node: usize, connection: ConnId, outputs: &mut Outputs) {
+        if self.has_unsent(node, connection) {
+            return self.feed_into(node, Input::Unsent(connection), outputs);
+        }
         let Some(id) = self.nodes[node].streams.get(&connection).copied() else { return };
         if let Some(stream) = self.streams.get_mut(&id) {
             stream.is_half_closed = true;
