Commands: the wait for the memory of a long command counts toward its time

Cause: a long command waits unread until its memory is free, and its time counted from when it was taken. A client that had sent it whole had been waiting all along.

Change: the wait is taken off the command's time; where nothing is left of it, the command is rejected with -BUSY, which is harmless to repeat.

--- a/crates/stonevane-core/src/clients/session.rs
+++ b/crates/stonevane-core/src/clients/session.rs
@@ -80,8 +80,10 @@
     input: BytesMut,
     /// Memory for a long command.
     command_memory: Option<MemoryReservation>,
-    /// Whether the session is queued for the memory of a long command.
-    awaits_memory: bool,
+    /// Time since which the session has been queued for the memory of a long command.
+    awaits_memory_since: Option<Micros>,
+    /// Time for which the present command was not read because its memory was not free.
+    memory_wait: Micros,
     pending_write: Option<PendingWrite>,
     /// Slots for answers, in the order of the commands.
     pub slots: VecDeque<Slot>,
@@ -131,7 +133,8 @@
         Session {
             input: BytesMut::new(),
             command_memory: None,
-            awaits_memory: false,
+            awaits_memory_since: None,
+            memory_wait: 0,
             pending_write: None,
             slots: VecDeque::new(),
             first_slot: 0,
@@ -187,18 +190,21 @@
 
     /// Returns whether the session needs memory for a long command and is not queued for it yet. After `true`
     /// the session counts as queued.
-    pub fn must_queue_for_memory(&mut self, memory: usize) -> bool {
+    pub fn must_queue_for_memory(&mut self, now: Micros, memory: usize) -> bool {
         let must_queue = self.accepts_request(memory)
             && self.command_memory.is_none()
             && self.input.len() >= UNRESERVED_BYTES
-            && !self.awaits_memory;
-        self.awaits_memory |= must_queue;
+            && self.awaits_memory_since.is_none();
+        if must_queue {
+            self.awaits_memory_since = Some(now);
+        }
         must_queue
     }
 
     /// Keeps the granted memory if input still waits for it; otherwise the memory is released.
-    pub fn on_memory_granted(&mut self, reservation: MemoryReservation) {
-        self.awaits_memory = false;
+    pub fn on_memory_granted(&mut self, now: Micros, reservation: MemoryReservation) {
+        let waiting_since = self.awaits_memory_since.take().unwrap_or(now);
+        self.memory_wait = now - waiting_since;
         if !self.input.is_empty() && !self.input_closed {
             self.command_memory = Some(reservation);
         }
@@ -272,6 +278,12 @@
         self.table_full_rejections > 0 && !self.input_closed
     }
 
+    /// Takes the time for which the command that was taken last waited for memory. The client may have sent all
+    /// of it before, so this time counts toward the time that the client waits.
+    pub fn take_memory_wait(&mut self) -> Micros {
+        std::mem::take(&mut self.memory_wait)
+    }
+
     fn discard_input(&mut self) {
         self.input = BytesMut::new();
         self.command_memory = None;
--- a/crates/stonevane-core/src/node/client_io.rs
+++ b/crates/stonevane-core/src/node/client_io.rs
@@ -76,7 +76,7 @@
 
     pub(super) fn on_memory_granted(&mut self, id: ConnId, reservation: MemoryReservation) {
         if let Some(session) = self.connections.clients.sessions.get_mut(&id) {
-            session.on_memory_granted(reservation);
+            session.on_memory_granted(self.now, reservation);
             self.process_client(id);
         } else {
             self.on_reply_memory_granted(id, reservation);
@@ -157,7 +157,7 @@
             let write = if closes { Output::WriteAndClose(id, bytes) } else { Output::Write(id, bytes) };
             self.out.push_back(write);
         }
-        if session.must_queue_for_memory(self.connections.memory.capacity()) {
+        if session.must_queue_for_memory(self.now, self.connections.memory.capacity()) {
             self.connections.memory.enqueue(id, LONG_COMMAND_MEMORY);
         }
     }
--- a/crates/stonevane-core/src/node/requests.rs
+++ b/crates/stonevane-core/src/node/requests.rs
@@ -123,20 +123,26 @@
     pub(super) fn on_command(&mut self, client: ConnId, arguments: &[Bytes]) {
         let decoded = clients::decode(arguments, &self.deployment);
         let Some(session) = self.connections.clients.sessions.get_mut(&client) else { return };
+        let memory_wait = session.take_memory_wait();
         match decoded {
             Ok(ClientCommand::Ping) => session.push_answer(match self.drain.phase {
                 Phase::Starting => "-LOADING no list of servers yet\r\n",
                 Phase::Ready | Phase::Draining => "+PONG\r\n",
             }),
-            Ok(ClientCommand::Request(command)) => self.on_request(client, command),
+            Ok(ClientCommand::Request(command)) => self.on_request(client, command, memory_wait),
             // Invalid commands are not passed to the policy.
             Err(error) => session.push_answer(format!("-ERR {error}\r\n")),
         }
     }
 
-    fn on_request(&mut self, client: ConnId, command: Command) {
+    /// Handles a request that was not read for `memory_wait` because its memory was not free.
+    fn on_request(&mut self, client: ConnId, mut command: Command, memory_wait: Micros) {
         let class_slot = self.reporter.class_slots[command.class];
         self.reporter.metrics.class_mut(class_slot).accepted += 1;
+        if memory_wait > 0 && memory_wait >= command.time_left {
+            return self.reject_arrival(client, &command, class_slot, ArrivalError::TooManyPending);
+        }
+        command.time_left -= memory_wait;
         match self.check_arrival(client, &command) {
             Ok(reservation) => self.open_request(client, command, class_slot, reservation),
             Err(error) => self.reject_arrival(client, &command, class_slot, error),
--- a/crates/stonevane-core/tests/command_memory.rs
+++ b/crates/stonevane-core/tests/command_memory.rs
@@ -29,6 +29,8 @@
     clients: usize,
     /// Requests that servers have received.
     requests: usize,
+    /// The request that a server received last.
+    last_request: String,
 }
 
 /// A client's connection, with the bytes that the core has not read yet.
@@ -42,7 +44,15 @@
         let config = config_with(false, 512, Duration::ZERO, |_| {});
         let core = Core::new(START, CoreConfig { memory_mb, ..config });
         let (written, half_closed) = (HashMap::new(), Vec::new());
-        let mut harness = Harness { core, now: START, written, half_closed, clients: 0, requests: 0 };
+        let mut harness = Harness {
+            core,
+            now: START,
+            written,
+            half_closed,
+            clients: 0,
+            requests: 0,
+            last_request: String::new(),
+        };
         // Enough replies for the policy to raise the servers' limits on concurrent requests.
         for number in 0..40 {
             let mut client = harness.connect(common::get("k", &format!("warm{number}")).to_vec());
@@ -71,6 +81,7 @@
                 Output::Open(id, _) => self.feed(Input::Opened(id)),
                 Output::WriteRequest { id, bytes, .. } => {
                     self.requests += 1;
+                    self.last_request = String::from_utf8_lossy(&bytes).into_owned();
                     self.feed(Input::Flushed(id));
                     let is_write = bytes.starts_with(b"PUT");
                     let reply: &[u8] =
@@ -95,6 +106,15 @@
         );
     }
 
+    fn advance(&mut self, time: u64) {
+        let until = self.now + time;
+        while let Some(due) = self.core.next_timeout().filter(|due| *due <= until) {
+            self.now = self.now.max(due);
+            self.feed(Input::Wake);
+        }
+        self.now = until;
+    }
+
     /// Feeds a client's bytes in one read, at most `max_bytes`. Returns whether the core has read any.
     fn read(&mut self, client: &mut Client, max_bytes: usize) -> bool {
         let budget = self.core.read_budget(client.id).min(max_bytes).min(client.unread.len());
@@ -187,3 +207,33 @@
         assert_eq!(harness.core.resource_counts().memory, 0);
     }
 }
+
+/// Guards against a command whose time counts anew once its memory is free, so that its answer comes long after
+/// its client's time (`late-read` of the review).
+#[test]
+fn the_wait_for_the_memory_of_a_long_command_counts_toward_its_time() {
+    for (wait, expected) in [(500_000, "$4\r\nmade\r\n"), (1_000_000, "-BUSY\r\n")] {
+        let mut harness = Harness::new(32);
+        // Commands without their last byte hold all the memory.
+        let mut holding = Vec::new();
+        let mut client = loop {
+            let mut unread = longest_command('h');
+            unread.pop();
+            let mut client = harness.connect(unread);
+            while harness.read(&mut client, usize::MAX) {}
+            if !client.unread.is_empty() {
+                break client;
+            }
+            holding.push(client);
+        };
+        client.unread.push(b'\n');
+        harness.advance(wait);
+        for held in &holding {
+            harness.feed(Input::Closed(held.id));
+        }
+        harness.clients -= holding.len();
+        while harness.read(&mut client, usize::MAX) {}
+        assert_eq!(harness.answer(&client), expected, "after a wait of {wait} us");
+        assert!(expected.starts_with('-') || harness.last_request.contains("d=400"), "900 ms less the wait");
+    }
+}
