--- a/crates/stonevane-node/src/driver/client_sockets.rs
+++ b/crates/stonevane-node/src/driver/client_sockets.rs
@@ -11,7 +11,7 @@
 use tokio::time::timeout;
 
 use super::reading::InputCheck;
-use super::socket::{is_everything_sent, shutdown_write, try_write, would_block};
+use super::socket::{shutdown_write, try_write, would_block};
 use super::{Driver, State};
 
 /// Maximum time for which a half-closed connection is read.
@@ -29,7 +29,7 @@
         }
         match state.stream(id).map(|stream| try_write(&stream, &bytes)) {
             Some(Ok(count)) if count == bytes.len() => {
-                if !self.has_sent_everything(state, id) {
+                if !state.has_sent_everything(id) {
                     return self.handle(state, Input::Flushed(id));
                 }
                 self.half_close(state, id);
@@ -40,17 +40,13 @@
         }
     }
 
-    fn has_sent_everything(&self, state: &State, id: ConnId) -> bool {
-        state.stream(id).is_none_or(|stream| is_everything_sent(&stream))
-    }
-
     /// Closes a client's connection on which nothing has arrived and whose answers are sent. The stream is shut down here and not when
     /// the connection's task has ended: the client is notified at once and sends nothing more.
     pub(super) fn close_if_idle(&self, state: &mut State, id: ConnId) {
         if !state.core.is_closing(id) || !self.has_no_input(state, id, InputCheck::Socket) {
             return;
         }
-        if !self.has_sent_everything(state, id) {
+        if !state.has_sent_everything(id) {
             return self.handle(state, Input::Unsent(id));
         }
         if let Some(connection) = state.connections.remove(&id) {
@@ -63,7 +59,7 @@
 
     /// Half-closes a connection whose answers are sent.
     pub(super) fn close_write(self: &Arc<Self>, state: &mut State, id: ConnId) {
-        if self.has_sent_everything(state, id) {
+        if state.has_sent_everything(id) {
             self.half_close(state, id);
         } else {
             self.handle(state, Input::Unsent(id));
--- a/crates/stonevane-node/src/driver/mod.rs
+++ b/crates/stonevane-node/src/driver/mod.rs
@@ -37,6 +37,7 @@
 
 use listener::ListenerState;
 use reading::InputCheck;
+use socket::is_everything_sent;
 use timers::WakeTimer;
 
 /// Size of the buffer for one read of a connection.
@@ -84,6 +85,11 @@
     fn stream(&self, id: ConnId) -> Option<Arc<TcpStream>> {
         self.connections.get(&id)?.stream.clone()
     }
+
+    /// Returns whether the kernel has sent everything that was written to a connection.
+    fn has_sent_everything(&self, id: ConnId) -> bool {
+        self.stream(id).is_none_or(|stream| is_everything_sent(&stream))
+    }
 }
 
 /// Drives one core. Shared by all tasks of the process.
