Core tests share the clock of their harnesses; comments name units

Read-through: three harnesses advanced their clock by the same lines, which are a trait of the fixtures now. Comments of the close, the drain's end and the chunk size are made plain.

--- a/crates/stonevane-core/src/node/drain.rs
+++ b/crates/stonevane-core/src/node/drain.rs
@@ -204,7 +204,7 @@
     }
 
     /// Closes the clients that wait for no answer: those that have sent the beginning of a command, and those
-    /// that would be closed with their next answer.
+    /// whose last answer was not sent completely when their close was tried before.
     fn close_waiting_clients(&mut self) {
         let waiting = self.connections.clients.without_pending_answers();
         for client in waiting {
--- a/crates/stonevane-core/src/servers/conn.rs
+++ b/crates/stonevane-core/src/servers/conn.rs
@@ -19,7 +19,7 @@
 const MAX_BUFFERED_REPLY_BYTES: usize = MAX_ARG_BYTES + UNRESERVED_BYTES;
 /// Memory reserved for a reply with a buffered value, in bytes: the received value and its copy.
 const BUFFERED_REPLY_MEMORY: usize = 2 * MAX_ARG_BYTES;
-/// Chunk size of reads of a streamed value.
+/// Chunk size of reads of a streamed value, in bytes.
 pub const STREAM_CHUNK_BYTES: usize = 64 * 1024;
 /// Buffer size of a streamed value, in bytes: one chunk that is being written and one that is arriving.
 pub const STREAM_BUFFER: usize = 2 * STREAM_CHUNK_BYTES;
--- a/crates/stonevane-core/tests/command_memory.rs
+++ b/crates/stonevane-core/tests/command_memory.rs
@@ -7,7 +7,7 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-use common::{HIT, START, config_with};
+use common::{CoreHarness, HIT, START, config_with};
 use stonevane_codec::resp;
 use stonevane_core::{ConnId, Core, CoreConfig, Input, Output, Outputs};
 
@@ -39,37 +39,13 @@
     unread: Vec<u8>,
 }
 
-impl Harness {
-    fn new(memory_mb: usize) -> Harness {
-        let config = config_with(false, 512, Duration::ZERO, |_| {});
-        let core = Core::new(START, CoreConfig { memory_mb, ..config });
-        let (written, half_closed) = (HashMap::new(), Vec::new());
-        let mut harness = Harness {
-            core,
-            now: START,
-            written,
-            half_closed,
-            clients: 0,
-            requests: 0,
-            last_request: String::new(),
-        };
-        // Enough replies for the policy to raise the servers' limits on concurrent requests.
-        for number in 0..40 {
-            let mut client = harness.connect(common::get("k", &format!("warm{number}")).to_vec());
-            harness.now += 1_000;
-            harness.read(&mut client, usize::MAX);
-            harness.feed(Input::Closed(client.id));
-            harness.clients -= 1;
-        }
-        harness.requests = 0;
-        harness
+impl CoreHarness for Harness {
+    fn core(&self) -> &Core {
+        &self.core
     }
 
-    fn connect(&mut self, unread: Vec<u8>) -> Client {
-        let id = self.core.next_connection_id();
-        self.clients += 1;
-        self.feed(Input::Accepted(id));
-        Client { id, unread }
+    fn now_mut(&mut self) -> &mut u64 {
+        &mut self.now
     }
 
     /// Feeds an input, performs the outputs and checks the bytes that the core holds.
@@ -105,14 +81,39 @@
             count.memory
         );
     }
+}
 
-    fn advance(&mut self, time: u64) {
-        let until = self.now + time;
-        while let Some(due) = self.core.next_timeout().filter(|due| *due <= until) {
-            self.now = self.now.max(due);
-            self.feed(Input::Wake);
+impl Harness {
+    fn new(memory_mb: usize) -> Harness {
+        let config = config_with(false, 512, Duration::ZERO, |_| {});
+        let core = Core::new(START, CoreConfig { memory_mb, ..config });
+        let (written, half_closed) = (HashMap::new(), Vec::new());
+        let mut harness = Harness {
+            core,
+            now: START,
+            written,
+            half_closed,
+            clients: 0,
+            requests: 0,
+            last_request: String::new(),
+        };
+        // Enough replies for the policy to raise the servers' limits on concurrent requests.
+        for number in 0..40 {
+            let mut client = harness.connect(common::get("k", &format!("warm{number}")).to_vec());
+            harness.now += 1_000;
+            harness.read(&mut client, usize::MAX);
+            harness.feed(Input::Closed(client.id));
+            harness.clients -= 1;
         }
-        self.now = until;
+        harness.requests = 0;
+        harness
+    }
+
+    fn connect(&mut self, unread: Vec<u8>) -> Client {
+        let id = self.core.next_connection_id();
+        self.clients += 1;
+        self.feed(Input::Accepted(id));
+        Client { id, unread }
     }
 
     /// Feeds a client's bytes in one read, at most `max_bytes`. Returns whether the core has read any.
--- a/crates/stonevane-core/tests/common/mod.rs
+++ b/crates/stonevane-core/tests/common/mod.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use stonevane_codec::resp;
 use stonevane_config::operator;
-use stonevane_core::{Core, CoreConfig, Endpoint, EndpointList};
+use stonevane_core::{Core, CoreConfig, Endpoint, EndpointList, Input};
 use stonevane_policy::settings::Deployment;
 use stonevane_policy::{RequestClass, Settings, Tenant};
 
@@ -103,3 +103,25 @@
 pub fn get(key: &str, id: &str) -> Bytes {
     resp::encode_command(&[b"OBJ.GET", key.as_bytes(), id.as_bytes(), b"c=read,t=all,d=900"])
 }
+
+/// A core with its clock and everything around it.
+pub trait CoreHarness {
+    fn core(&self) -> &Core;
+
+    /// The clock, in Unix microseconds.
+    fn now_mut(&mut self) -> &mut u64;
+
+    /// Feeds an input and performs the outputs.
+    fn feed(&mut self, input: Input<'_>);
+
+    /// Advances the time by `time` microseconds: timers fire.
+    fn advance(&mut self, time: u64) {
+        let end = *self.now_mut() + time;
+        while let Some(due) = self.core().next_timeout().filter(|due| *due <= end) {
+            let now = self.now_mut();
+            *now = due.max(*now);
+            self.feed(Input::Wake);
+        }
+        *self.now_mut() = end;
+    }
+}
--- a/crates/stonevane-core/tests/crossings.rs
+++ b/crates/stonevane-core/tests/crossings.rs
@@ -11,7 +11,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use common::{HIT, START, core, get};
+use common::{CoreHarness, HIT, START, core, get};
 use stonevane_core::{ConnId, Core, Endpoint, EndpointList, Input, Output, Outputs};
 
 /// A core and its recorded outputs.
@@ -44,25 +44,13 @@
     }
 }
 
-impl Harness {
-    fn new() -> Harness {
-        Harness::of(core(false, 256, Duration::from_millis(15)))
+impl CoreHarness for Harness {
+    fn core(&self) -> &Core {
+        &self.core
     }
 
-    fn of(core: Core) -> Harness {
-        let mut harness = Harness {
-            core,
-            now: START,
-            opens_at_once: true,
-            flushes_at_once: true,
-            address_of: HashMap::new(),
-            attempts: Vec::new(),
-            closed: Vec::new(),
-            answers: Vec::new(),
-            discovery_calls: 0,
-        };
-        harness.feed(Input::Wake);
-        harness
+    fn now_mut(&mut self) -> &mut u64 {
+        &mut self.now
     }
 
     fn feed(&mut self, input: Input<'_>) {
@@ -92,15 +80,27 @@
             }
         }
     }
+}
 
-    /// Advances the time by `time` microseconds: timers fire.
-    fn advance(&mut self, time: u64) {
-        let end = self.now + time;
-        while let Some(at) = self.core.next_timeout().filter(|at| *at <= end) {
-            self.now = self.now.max(at);
-            self.feed(Input::Wake);
-        }
-        self.now = end;
+impl Harness {
+    fn new() -> Harness {
+        Harness::of(core(false, 256, Duration::from_millis(15)))
+    }
+
+    fn of(core: Core) -> Harness {
+        let mut harness = Harness {
+            core,
+            now: START,
+            opens_at_once: true,
+            flushes_at_once: true,
+            address_of: HashMap::new(),
+            attempts: Vec::new(),
+            closed: Vec::new(),
+            answers: Vec::new(),
+            discovery_calls: 0,
+        };
+        harness.feed(Input::Wake);
+        harness
     }
 
     fn client(&mut self) -> ConnId {
--- a/crates/stonevane-core/tests/unsent.rs
+++ b/crates/stonevane-core/tests/unsent.rs
@@ -8,7 +8,7 @@
 use std::collections::HashSet;
 use std::time::Duration;
 
-use common::{HIT, START, config_with, get};
+use common::{CoreHarness, HIT, START, config_with, get};
 use stonevane_config::operator::Clients;
 use stonevane_core::{ConnId, Core, CoreConfig, Input, Output, Outputs};
 
@@ -28,19 +28,13 @@
     has_ended: bool,
 }
 
-impl Harness {
-    fn new(sockets: usize) -> Harness {
-        let config = config_with(false, sockets, Duration::ZERO, |_| {});
-        let config = CoreConfig { clients: Clients { idle: IDLE_LIMIT, ..config.clients }, ..config };
-        Harness {
-            core: Core::new(START, config),
-            now: START,
-            receiving: HashSet::new(),
-            clients: Vec::new(),
-            closed: Vec::new(),
-            attempts: Vec::new(),
-            has_ended: false,
-        }
+impl CoreHarness for Harness {
+    fn core(&self) -> &Core {
+        &self.core
+    }
+
+    fn now_mut(&mut self) -> &mut u64 {
+        &mut self.now
     }
 
     fn feed(&mut self, input: Input<'_>) {
@@ -73,6 +67,22 @@
             }
         }
     }
+}
+
+impl Harness {
+    fn new(sockets: usize) -> Harness {
+        let config = config_with(false, sockets, Duration::ZERO, |_| {});
+        let config = CoreConfig { clients: Clients { idle: IDLE_LIMIT, ..config.clients }, ..config };
+        Harness {
+            core: Core::new(START, config),
+            now: START,
+            receiving: HashSet::new(),
+            clients: Vec::new(),
+            closed: Vec::new(),
+            attempts: Vec::new(),
+            has_ended: false,
+        }
+    }
 
     /// Connects a client, sends a request and answers it.
     fn served_client(&mut self, id: &str) -> ConnId {
@@ -88,15 +98,6 @@
         let conn = self.attempts.pop().expect("the request is sent");
         self.feed(Input::Bytes(conn, HIT));
     }
-
-    fn advance(&mut self, time: u64) {
-        let until = self.now + time;
-        while let Some(due) = self.core.next_timeout().filter(|due| *due <= until) {
-            self.now = self.now.max(due);
-            self.feed(Input::Wake);
-        }
-        self.now = until;
-    }
 }
 
 #[test]
--- a/crates/stonevane-node/src/driver/client_sockets.rs
+++ b/crates/stonevane-node/src/driver/client_sockets.rs
@@ -40,8 +40,9 @@
         }
     }
 
-    /// Closes a client's connection on which nothing has arrived and whose answers are sent. The stream is shut down here and not when
-    /// the connection's task has ended: the client is notified at once and sends nothing more.
+    /// Closes a client's connection on which nothing has arrived and whose answers are sent. The stream is shut
+    /// down here and not when the connection's task has ended: the client is notified at once and sends nothing
+    /// more.
     pub(super) fn close_if_idle(&self, state: &mut State, id: ConnId) {
         if !state.core.is_closing(id) || !self.has_no_input(state, id, InputCheck::Socket) {
             return;
